--- a/src/events/mod.ts
+++ b/src/events/mod.ts
@@ -1,4 +1,5 @@
 /** Events and their log. */
+export { BoundedWriter, type LineStream } from "./bounded_writer.ts";
 export {
   createEventLog,
   type EventFields,
--- /dev/null
+++ b/src/front/owner_link_task.ts
@@ -0,0 +1,164 @@
+/** The link from this host to the owner: calls out, answers in. */
+
+import { connect, type Socket } from "node:net";
+import { getErrorMessage } from "../errors/mod.ts";
+import type { EventLog } from "../events/mod.ts";
+import { FrameCutter } from "../links/frame.ts";
+import type { SocketAddress } from "../links/socket_address.ts";
+import { formatSocketAddress } from "../links/socket_address.ts";
+import { Task } from "../tasks/mod.ts";
+import type { Answer } from "./call.ts";
+import { decodeOwnerResponse, encodeOwnerMessage, type ForwardedCall } from "./call_frame.ts";
+
+/** How often the owner is asked whether it is there, in milliseconds. */
+const PING_MILLISECONDS = 400;
+/** How long the owner may be silent before the link is replaced, in milliseconds: three questions. */
+const SILENCE_MILLISECONDS = 1_200;
+/** The pause before a new connection, in milliseconds. */
+const RECONNECT_MILLISECONDS = 100;
+
+/** The messages that an `OwnerLinkTask` takes. */
+export type OwnerLinkMessage =
+  | { kind: "call"; number: number; call: ForwardedCall }
+  | { kind: "connected"; socket: Socket }
+  | { kind: "received"; socket: Socket; bytes: Buffer }
+  | { kind: "closed"; socket: Socket; code: string | undefined }
+  | { kind: "tick" };
+
+/** Options of an `OwnerLinkTask`. */
+export interface OwnerLinkTaskOptions {
+  /** The owner's address. */
+  address: SocketAddress;
+  /** Gets an answer. */
+  onAnswer: (number: number, answer: Answer) => void;
+  /** Tells that a connection is there; calls sent before may have been lost. */
+  onConnected: () => void;
+  /** Tells that the owner's address refuses connections: its process has ended. */
+  onRefused: () => void;
+  /** Logs the loss and return of the link. */
+  log: EventLog;
+}
+
+/** Owns the socket to the owner. */
+export class OwnerLinkTask extends Task<OwnerLinkMessage> {
+  readonly #options: OwnerLinkTaskOptions;
+  readonly #peer: string;
+  readonly #timer: NodeJS.Timeout;
+  #socket: Socket | undefined;
+  #isConnected = false;
+  #cutter: FrameCutter;
+  #heardAt = performance.now();
+  #pingedAt = 0;
+  #connectAt = 0;
+
+  private constructor(options: OwnerLinkTaskOptions) {
+    super({ name: "owner-link" });
+    this.#options = options;
+    this.#peer = formatSocketAddress(options.address);
+    this.#cutter = FrameCutter.create(this.#peer);
+    this.#timer = setInterval(() => this.post({ kind: "tick" }), RECONNECT_MILLISECONDS);
+  }
+
+  /** Creates the task and connects. */
+  static create(options: OwnerLinkTaskOptions): OwnerLinkTask {
+    const task = new OwnerLinkTask(options);
+    task.#connect();
+    return task;
+  }
+
+  /** Gets whether calls can be sent now. */
+  isOpen(): boolean {
+    return this.#isConnected;
+  }
+
+  protected override receive(message: OwnerLinkMessage): void {
+    switch (message.kind) {
+      case "call":
+        return this.#send(encodeOwnerMessage({ number: message.number, call: message.call }));
+      case "connected":
+        return this.#handleConnected(message.socket);
+      case "received":
+        return this.#handleBytes(message.socket, message.bytes);
+      case "closed":
+        return this.#handleClosed(message.socket, message.code);
+      case "tick":
+        return this.#tick();
+    }
+  }
+
+  override getState(): unknown {
+    return { peer: this.#peer, isConnected: this.#isConnected };
+  }
+
+  override stop(): void {
+    super.stop();
+    clearInterval(this.#timer);
+    this.#socket?.destroy();
+  }
+
+  #connect(): void {
+    const { host, port } = this.#options.address;
+    const socket = connect({ host, port, noDelay: true });
+    this.#socket = socket;
+    this.#isConnected = false;
+    this.#cutter = FrameCutter.create(this.#peer);
+    this.#heardAt = performance.now();
+    let code: string | undefined;
+    socket.on("connect", () => this.post({ kind: "connected", socket }));
+    socket.on("data", (bytes) => this.post({ kind: "received", socket, bytes }));
+    socket.on("error", (error: NodeJS.ErrnoException) => code = error.code);
+    socket.on("close", () => this.post({ kind: "closed", socket, code }));
+  }
+
+  #handleConnected(socket: Socket): void {
+    if (socket !== this.#socket) return;
+    this.#isConnected = true;
+    this.#heardAt = performance.now();
+    this.#options.log("owner-link-open", { peer: this.#peer });
+    this.#options.onConnected();
+  }
+
+  #handleBytes(socket: Socket, bytes: Buffer): void {
+    if (socket !== this.#socket) return;
+    this.#heardAt = performance.now();
+    try {
+      for (const body of this.#cutter.addBytes(bytes)) {
+        const response = decodeOwnerResponse(body);
+        if (response === undefined) {
+          this.#options.log("owner-answer-unreadable", { step: "decode", peer: this.#peer });
+        } else if ("answer" in response) {
+          this.#options.onAnswer(response.number, response.answer);
+        }
+      }
+    } catch (error) {
+      const reason = getErrorMessage(error);
+      this.#options.log("owner-link-broken", { step: "decode-frame", peer: this.#peer, reason });
+      socket.destroy();
+    }
+  }
+
+  #handleClosed(socket: Socket, code: string | undefined): void {
+    if (socket !== this.#socket) return;
+    if (this.#isConnected) this.#options.log("owner-link-lost", { peer: this.#peer, reason: code });
+    this.#socket = undefined;
+    this.#isConnected = false;
+    this.#connectAt = performance.now() + RECONNECT_MILLISECONDS;
+    if (code === "ECONNREFUSED") this.#options.onRefused();
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    if (this.#socket === undefined) {
+      if (now >= this.#connectAt) this.#connect();
+      return;
+    }
+    if (now - this.#heardAt > SILENCE_MILLISECONDS) return void this.#socket.destroy();
+    if (!this.#isConnected || now - this.#pingedAt < PING_MILLISECONDS) return;
+    this.#pingedAt = now;
+    this.#send(encodeOwnerMessage({ number: 0 }));
+  }
+
+  #send(frame: Buffer): void {
+    if (this.#isConnected) this.#socket?.write(frame);
+  }
+}
--- /dev/null
+++ b/src/front/owner_listener_task.ts
@@ -0,0 +1,114 @@
+/** Listens for the links of other entry hosts, and passes their calls to the owner here. */
+
+import { createServer, type Server, type Socket } from "node:net";
+import { getErrorMessage } from "../errors/mod.ts";
+import type { EventLog } from "../events/mod.ts";
+import { FrameCutter } from "../links/frame.ts";
+import { listen } from "../links/listen.ts";
+import type { SocketAddress } from "../links/socket_address.ts";
+import { type Reply, Task } from "../tasks/mod.ts";
+import type { Answer } from "./call.ts";
+import { decodeOwnerRequest, encodeOwnerMessage, type ForwardedCall } from "./call_frame.ts";
+
+/** The messages that an `OwnerListenerTask` takes. */
+export type OwnerListenerMessage =
+  | { kind: "opened"; socket: Socket }
+  | { kind: "received"; socket: Socket; bytes: Buffer }
+  | { kind: "closed"; socket: Socket };
+
+/** Options of an `OwnerListenerTask`. */
+export interface OwnerListenerTaskOptions {
+  /** The address to listen on. */
+  address: SocketAddress;
+  /** Passes a call to the owner here. */
+  deliver: (call: ForwardedCall, reply: Reply<Answer>) => void;
+  /** Logs links that break the protocol. */
+  log: EventLog;
+}
+
+/** Owns the listening socket for links and the links. */
+export class OwnerListenerTask extends Task<OwnerListenerMessage> {
+  readonly #options: OwnerListenerTaskOptions;
+  readonly #server: Server;
+  readonly #links = new Map<Socket, FrameCutter>();
+
+  private constructor(options: OwnerListenerTaskOptions) {
+    super({ name: "owner-listener" });
+    this.#options = options;
+    this.#server = createServer({ noDelay: true }, (socket) => {
+      socket.on("data", (bytes) => this.post({ kind: "received", socket, bytes }));
+      socket.on("error", (error) => {
+        options.log("link-error", {
+          step: "read",
+          peer: socket.remoteAddress,
+          reason: error.message,
+        });
+      });
+      socket.on("close", () => this.post({ kind: "closed", socket }));
+      this.post({ kind: "opened", socket });
+    });
+  }
+
+  /** Creates the task; `listen` opens the socket. */
+  static create(options: OwnerListenerTaskOptions): OwnerListenerTask {
+    return new OwnerListenerTask(options);
+  }
+
+  /** Listens, and gets the address with the port that was chosen. */
+  listen(): Promise<string> {
+    return listen(this.#server, this.#options.address);
+  }
+
+  protected override receive(message: OwnerListenerMessage): void {
+    switch (message.kind) {
+      case "opened":
+        this.#links.set(message.socket, FrameCutter.create(String(message.socket.remoteAddress)));
+        return;
+      case "received":
+        return this.#handleBytes(message.socket, message.bytes);
+      case "closed":
+        this.#links.delete(message.socket);
+        return;
+    }
+  }
+
+  override getState(): unknown {
+    return { links: this.#links.size };
+  }
+
+  override stop(): void {
+    super.stop();
+    this.#server.close();
+    for (const socket of this.#links.keys()) socket.destroy();
+  }
+
+  #handleBytes(socket: Socket, bytes: Buffer): void {
+    const cutter = this.#links.get(socket);
+    if (cutter === undefined) return;
+    try {
+      for (const body of cutter.addBytes(bytes)) this.#handleBody(socket, body);
+    } catch (error) {
+      const reason = getErrorMessage(error);
+      this.#options.log("link-broken", {
+        step: "decode-frame",
+        peer: socket.remoteAddress,
+        reason,
+      });
+      socket.destroy();
+    }
+  }
+
+  #handleBody(socket: Socket, body: Buffer): void {
+    const request = decodeOwnerRequest(body);
+    if (request === undefined) {
+      this.#options.log("link-broken", { step: "decode", peer: socket.remoteAddress });
+      socket.destroy();
+      return;
+    }
+    const { number } = request;
+    if (!("call" in request)) return void socket.write(encodeOwnerMessage({ number: 0 }));
+    this.#options.deliver(request.call, (answer) => {
+      if (socket.writable) socket.write(encodeOwnerMessage({ number, answer }));
+    });
+  }
+}
--- /dev/null
+++ b/src/owner/fleet_owner.ts
@@ -0,0 +1,271 @@
+/** The owner of the fleet: the one that decides, while it holds the claim. */
+
+import type { Configuration } from "../fleet/configuration.ts";
+import { Executor } from "../fleet/executor.ts";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import type { Job, JobState } from "../fleet/job.ts";
+import { TaskState } from "../fleet/job.ts";
+import type { OperatorRequests } from "../fleet/maintenance_wave.ts";
+import { Dispatch, NO_TICKET } from "./dispatch.ts";
+import { FleetState, type FleetStateOptions } from "./fleet_state.ts";
+import { JobDesk, type Submission } from "./job_desk.ts";
+import { createArrivalOrder } from "./job_order.ts";
+import { createProgressEntry } from "./job_records.ts";
+import { LookControl } from "./look_control.ts";
+import { rankLeastLoaded } from "./placement.ts";
+import { RunControl } from "./run_control.ts";
+import type { LookAnswer, OrderAnswer } from "./owner_ports.ts";
+
+/** What holds at the moment of a decision. */
+export interface OwnerMoment {
+  /** The time on the steady clock, in milliseconds. */
+  now: number;
+  /** The time of day, in milliseconds since 1970. */
+  timeOfDay: number;
+  /** Whether the owner may start tasks and act on hosts now. */
+  mayStart: boolean;
+  /** Whether the owner may extend leases now. */
+  mayExtend: boolean;
+  /** The lease that a look grants now, in milliseconds. */
+  leaseMilliseconds: number;
+}
+
+/** Options of a `FleetOwner`. */
+export interface FleetOwnerOptions extends FleetStateOptions {
+  /** The time of day, in milliseconds since 1970. */
+  timeOfDay: number;
+  /** The configuration. */
+  configuration: Configuration;
+  /** The jobs that earlier owners stored. */
+  jobs: readonly Job[];
+  /** The executors that are listed. */
+  executors: readonly ExecutorEntry[];
+  /** How long an earlier owner's starts may still run where this one cannot look, in milliseconds. */
+  doubtMilliseconds: number;
+}
+
+/** The least time between two rounds of forgetting, in milliseconds. */
+const FORGET_MILLISECONDS = 5_000;
+/** How fast the memory of an executor's failures fades: it halves in this time, in milliseconds. */
+const FAILURE_HALF_LIFE_MILLISECONDS = 4_000;
+
+/** All decisions of the owner: events in, orders out through its ports. */
+export class FleetOwner {
+  readonly #state: FleetState;
+  readonly #runs: RunControl;
+  readonly #looks: LookControl;
+  readonly #desk: JobDesk;
+  readonly #dispatch: Dispatch;
+  readonly #doubtUntil: number;
+  /** The executors that the earlier owner used and that have not answered this one. */
+  readonly #unsettled = new Set<string>();
+  #hasUnknown = true;
+  #forgotAt = 0;
+  #decayedAt = 0;
+
+  private constructor(options: FleetOwnerOptions) {
+    this.#state = FleetState.create(options);
+    this.#state.now = options.startedAt;
+    this.#state.timeOfDay = options.timeOfDay;
+    this.#state.setConfiguration(options.configuration);
+    this.#runs = RunControl.create(this.#state);
+    this.#looks = LookControl.create(this.#state, this.#runs);
+    this.#desk = JobDesk.create(this.#state, this.#runs);
+    this.#dispatch = Dispatch.create({
+      state: this.#state,
+      runs: this.#runs,
+      compareSteps: createArrivalOrder(this.#state),
+      rankExecutor: rankLeastLoaded,
+      getTicket: () => NO_TICKET,
+    });
+    this.#doubtUntil = options.startedAt + options.doubtMilliseconds;
+    for (const job of options.jobs) this.#desk.restore(job);
+    for (const entry of options.executors) this.#unsettled.add(entry.id);
+    this.setExecutors(options.executors);
+  }
+
+  /** Creates an owner from what earlier owners stored. */
+  static create(options: FleetOwnerOptions): FleetOwner {
+    return new FleetOwner(options);
+  }
+
+  /** Sets what holds from now on. */
+  setMoment(moment: OwnerMoment): void {
+    const state = this.#state;
+    if (moment.mayStart && !state.mayStart) state.needsDispatch = true;
+    state.now = moment.now;
+    state.timeOfDay = moment.timeOfDay;
+    state.mayStart = moment.mayStart;
+    state.mayExtend = moment.mayExtend;
+    state.leaseMilliseconds = moment.leaseMilliseconds;
+  }
+
+  /** Sets the configuration. */
+  setConfiguration(configuration: Configuration): void {
+    this.#state.setConfiguration(configuration);
+  }
+
+  /** Sets what operators have asked for. */
+  setRequests(requests: OperatorRequests): void {
+    this.#state.evacuatedZones = requests.evacuatedZones;
+    this.#state.needsDispatch = true;
+  }
+
+  /** Sets the executors that are listed; one that is listed no more gets no starts. */
+  setExecutors(entries: readonly ExecutorEntry[]): void {
+    const state = this.#state;
+    const listed = new Set<string>();
+    for (const entry of entries) {
+      listed.add(entry.id);
+      this.#setExecutor(entry);
+    }
+    for (const executor of state.executors.values()) {
+      executor.isListed = listed.has(executor.id);
+      const isIdle = !executor.isListed && executor.runs.size === 0;
+      if (isIdle) this.#looks.endExecutor(executor, "it is listed no more");
+    }
+    state.needsDispatch = true;
+  }
+
+  /** Submits a job. */
+  submit(submission: Submission, onAccepted: () => void): void {
+    this.#desk.submit(submission, onAccepted);
+  }
+
+  /** Gets what a caller is told of a job, or undefined if there is none. */
+  getJobState(id: string): JobState | undefined {
+    return this.#desk.getState(id);
+  }
+
+  /** Gets whether a job is being stored. */
+  isAccepting(id: string): boolean {
+    return this.#desk.isAccepting(id);
+  }
+
+  /** Gets the number of a queue's jobs that wait. */
+  getWaitingCount(queue: string): number {
+    return this.#desk.getWaitingCount(queue);
+  }
+
+  /** Cancels a job, and tells when that is stored. */
+  cancel(id: string, onCancelled: () => void): void {
+    this.#desk.cancel(id, onCancelled);
+  }
+
+  /** Acts on the answer to a start. */
+  handleStartAnswer(executorId: string, task: string, run: number, answer: OrderAnswer): void {
+    this.#runs.handleStartAnswer(executorId, task, run, answer);
+  }
+
+  /** Acts on the answer to a stop. */
+  handleStopAnswer(executorId: string, task: string, run: number, answer: OrderAnswer): void {
+    this.#runs.handleStopAnswer(executorId, task, run, answer);
+  }
+
+  /** Acts on the answer to a look. */
+  handleLookAnswer(executorId: string, sentAt: number, answer: LookAnswer): void {
+    this.#looks.handleAnswer(executorId, sentAt, answer);
+    this.#settleUnknown();
+  }
+
+  /** Does what time demands. */
+  tick(): void {
+    const state = this.#state;
+    this.#desk.tick();
+    this.#settleUnknown();
+    if (state.now - this.#forgotAt > FORGET_MILLISECONDS) {
+      this.#forgotAt = state.now;
+      this.#desk.forget();
+    }
+    this.#decayFailures();
+    state.needsDispatch = true;
+  }
+
+  /** Carries out what the events so far ask for. */
+  settle(): void {
+    this.#dispatch.run();
+    this.#storeProgress();
+    this.#looks.tick();
+  }
+
+  /** Gets what the state dump and the metrics show. */
+  getSummary(): Readonly<Record<string, number>> {
+    const state = this.#state;
+    let running = 0;
+    for (const executor of state.executors.values()) running += executor.runs.size;
+    return {
+      fence: state.fence,
+      executors: state.executors.size,
+      jobs: state.jobs.size,
+      readySteps: state.ready.size,
+      running,
+    };
+  }
+
+  #setExecutor(entry: ExecutorEntry): void {
+    const state = this.#state;
+    const known = state.executors.get(entry.id);
+    if (known !== undefined && known.entry.born !== entry.born && entry.born !== 0) {
+      if (known.entry.born > entry.born) return;
+      this.#looks.endExecutor(known, "it was born again");
+    }
+    const executor = state.executors.get(entry.id);
+    if (executor !== undefined) {
+      executor.entry = entry;
+      return;
+    }
+    state.executors.set(entry.id, Executor.create(entry));
+    state.log("executor-listed", {
+      executor: entry.id,
+      service: entry.service,
+      zone: entry.zone,
+      born: entry.born,
+    });
+  }
+
+  /** Lets tasks start that no earlier owner can still have running. */
+  #settleUnknown(): void {
+    if (!this.#hasUnknown) return;
+    const state = this.#state;
+    const isDoubtOver = state.now >= this.#doubtUntil;
+    const doubtful = new Set<string>();
+    for (const id of this.#unsettled) {
+      const executor = state.executors.get(id);
+      if (executor === undefined || executor.isFenced || isDoubtOver) this.#unsettled.delete(id);
+      else doubtful.add(executor.entry.service);
+    }
+    for (const job of state.jobs.values()) {
+      if (job.outcome !== undefined) continue;
+      const service = state.getService(job);
+      if (service !== undefined && doubtful.has(service)) continue;
+      for (const task of job.getTasks()) {
+        if (task.state === TaskState.Unknown) state.requeueUnknown(task);
+      }
+    }
+    if (this.#unsettled.size === 0 && state.configuration.version > 0) this.#hasUnknown = false;
+  }
+
+  #storeProgress(): void {
+    const state = this.#state;
+    const ends: [Executor, number][] = [];
+    for (const executor of state.executors.values()) {
+      if (executor.handledEnd > executor.sentEnd) ends.push([executor, executor.handledEnd]);
+    }
+    if (state.changedJobs.size === 0 && ends.length === 0) return;
+    const jobs = [...state.changedJobs];
+    const ended = jobs.filter((job) => job.outcome !== undefined);
+    state.changedJobs.clear();
+    for (const [executor, end] of ends) executor.sentEnd = end;
+    state.ports.write(jobs.map(createProgressEntry), () => {
+      for (const [executor, end] of ends) executor.storedEnd = Math.max(executor.storedEnd, end);
+      for (const job of ended) job.isOutcomeStored = true;
+    });
+  }
+
+  #decayFailures(): void {
+    const state = this.#state;
+    const factor = 2 ** (-(state.now - this.#decayedAt) / FAILURE_HALF_LIFE_MILLISECONDS);
+    this.#decayedAt = state.now;
+    for (const executor of state.executors.values()) executor.failureScore *= factor;
+  }
+}
--- /dev/null
+++ b/src/owner/fleet_state.ts
@@ -0,0 +1,188 @@
+/** The whole state of the fleet that its owner decides on. */
+
+import type { EventLog } from "../events/mod.ts";
+import { Configuration, type Queue } from "../fleet/configuration.ts";
+import { type AssignedRun, Executor } from "../fleet/executor.ts";
+import { type Job, type JobStep, type JobTask, TaskState } from "../fleet/job.ts";
+import { addResources, type Resources } from "../fleet/resources.ts";
+import type { OwnerPorts } from "./owner_ports.ts";
+
+/** The bounds and times that the owner's decisions keep. */
+export interface OwnerLimits {
+  /** The longest lease that an owner grants, in milliseconds. */
+  longestLeaseMilliseconds: number;
+  /** How long an ended job is remembered, in milliseconds. */
+  rememberMilliseconds: number;
+  /** How long a stop may take on an executor, in milliseconds. */
+  stopMilliseconds: number;
+  /** How many times as long a task takes off its rack. */
+  farFactor: number;
+}
+
+/** Options of a `FleetState`. */
+export interface FleetStateOptions {
+  /** The fence of this owner: higher than that of any earlier one. */
+  fence: number;
+  /** The bounds and times. */
+  limits: OwnerLimits;
+  /** Where decisions go. */
+  ports: OwnerPorts;
+  /** Logs decisions. */
+  log: EventLog;
+  /** When this owner took over, on the steady clock. */
+  startedAt: number;
+}
+
+/** Runs a run number space of its own for each fence, so that no run of an earlier owner is higher. */
+const RUNS_PER_FENCE = 2 ** 20;
+
+/** What the owner knows. */
+export class FleetState {
+  /** The fence of this owner. */
+  readonly fence: number;
+  /** The bounds and times. */
+  readonly limits: OwnerLimits;
+  /** Where decisions go. */
+  readonly ports: OwnerPorts;
+  /** Logs decisions. */
+  readonly log: EventLog;
+  /** When this owner took over, on the steady clock. */
+  readonly startedAt: number;
+  /** The time on the steady clock, set before each decision. */
+  now = 0;
+  /** The time of day, in milliseconds since 1970, set before each decision. */
+  timeOfDay = 0;
+  /** Whether the owner may start tasks and act on hosts now. */
+  mayStart = false;
+  /** Whether the owner may extend leases now. */
+  mayExtend = false;
+  /** The lease that a look grants now, in milliseconds. */
+  leaseMilliseconds = 0;
+  /** The configuration. */
+  configuration = Configuration.create({
+    version: 0,
+    queues: [],
+    services: [],
+    customers: [],
+    largestBodyBytes: 0,
+  });
+  /** The zones in which nothing is started. */
+  evacuatedZones: ReadonlySet<string> = new Set();
+  /** The executors by id. */
+  readonly executors = new Map<string, Executor>();
+  /** The jobs by id. */
+  readonly jobs = new Map<string, Job>();
+  /** The steps with tasks that may start. */
+  readonly ready = new Set<JobStep>();
+  /** The jobs whose progress is to be stored. */
+  readonly changedJobs = new Set<Job>();
+  /** What each customer has running. */
+  readonly usage = new Map<string, Resources>();
+  /** Whether something has changed that lets tasks start. */
+  needsDispatch = true;
+  #lastRun = 0;
+  readonly #queues = new Map<string, Queue>();
+
+  private constructor(options: FleetStateOptions) {
+    this.fence = options.fence;
+    this.limits = options.limits;
+    this.ports = options.ports;
+    this.log = options.log;
+    this.startedAt = options.startedAt;
+  }
+
+  /** Creates the state of an owner that knows nothing yet. */
+  static create(options: FleetStateOptions): FleetState {
+    return new FleetState(options);
+  }
+
+  /** Gets a run number that is higher than all before. */
+  createRunNumber(): number {
+    this.#lastRun += 1;
+    return this.fence * RUNS_PER_FENCE + this.#lastRun;
+  }
+
+  /** Gets the queue of a job; one that was removed is remembered as it was last. */
+  getQueue(name: string): Queue | undefined {
+    const queue = this.configuration.getQueue(name) ?? this.#queues.get(name);
+    return queue;
+  }
+
+  /** Sets the configuration and remembers its queues. */
+  setConfiguration(configuration: Configuration): void {
+    this.configuration = configuration;
+    for (const queue of configuration.getQueues()) this.#queues.set(queue.name, queue);
+    this.needsDispatch = true;
+  }
+
+  /** Gets the service whose executors run a job's tasks. */
+  getService(job: Job): string | undefined {
+    return this.getQueue(job.queue)?.service;
+  }
+
+  /** Gets what a customer has running. */
+  getUsage(customer: string): Resources {
+    let usage = this.usage.get(customer);
+    if (usage === undefined) {
+      usage = { cpu: 0, memory: 0, accelerators: 0 };
+      this.usage.set(customer, usage);
+    }
+    return usage;
+  }
+
+  /** Gives a task a run. */
+  addRun(executor: Executor, assigned: AssignedRun): void {
+    const { task, run } = assigned;
+    task.run = run;
+    task.state = TaskState.Assigned;
+    task.step.job.hasStarted = true;
+    executor.addRun(assigned);
+    addResources(this.getUsage(task.step.job.customer), task.step.specification.demand);
+  }
+
+  /** Takes a run from its task; what becomes of the task is the caller's. */
+  removeRun(executor: Executor, assigned: AssignedRun): void {
+    const { task, run } = assigned;
+    if (!executor.runs.has(task.name)) return;
+    executor.removeRun(assigned);
+    addResources(this.getUsage(task.step.job.customer), task.step.specification.demand, -1);
+    if (task.run === run) task.run = undefined;
+    this.needsDispatch = true;
+  }
+
+  /** Lets a task start again. */
+  requeue(task: JobTask): void {
+    task.state = TaskState.Waiting;
+    task.awaySince = this.now;
+    if (task.step.job.outcome === undefined) this.ready.add(task.step);
+    this.needsDispatch = true;
+  }
+
+  /** Lets a task start that no earlier owner can have running; its step may not be ready yet. */
+  requeueUnknown(task: JobTask): void {
+    task.state = TaskState.Waiting;
+    task.awaySince = this.now;
+    if (task.step.job.isReady(task.step)) this.ready.add(task.step);
+    this.needsDispatch = true;
+  }
+
+  /** Adds an occurrence of a job whose time has come. */
+  addOccurrence(job: Job, occurrence: number, state: TaskState): void {
+    for (const step of job.addOccurrence(occurrence, state)) this.addIfReady(step);
+  }
+
+  /** Lets the tasks of a step start, if all that it comes after is done. */
+  addIfReady(step: JobStep): void {
+    if (step.job.outcome !== undefined || !step.job.isReady(step)) return;
+    step.readyAt = this.now;
+    this.ready.add(step);
+    this.needsDispatch = true;
+  }
+
+  /** Gets the executors of a service. */
+  *getPool(service: string): Generator<Executor> {
+    for (const executor of this.executors.values()) {
+      if (executor.entry.service === service) yield executor;
+    }
+  }
+}
--- /dev/null
+++ b/src/owner/job_desk.ts
@@ -0,0 +1,161 @@
+/** What callers ask of jobs: submit, state, cancel, and the number that waits. */
+
+import { Job, JobState, TaskState } from "../fleet/job.ts";
+import type { JobSpecification } from "../fleet/job_specification.ts";
+import type { FleetState } from "./fleet_state.ts";
+import { createAcceptedEntry, createForgottenEntries, createProgressEntry } from "./job_records.ts";
+import type { RunControl } from "./run_control.ts";
+
+/** A job that a caller hands in. */
+export interface Submission {
+  /** The id that the caller chose. */
+  id: string;
+  /** The name of the queue. */
+  queue: string;
+  /** The name of the customer; empty on a public queue without a key. */
+  customer: string;
+  /** What the caller asks for. */
+  specification: JobSpecification;
+}
+
+/** The decisions about whole jobs. */
+export class JobDesk {
+  readonly #state: FleetState;
+  readonly #runs: RunControl;
+  /** The jobs that are being stored, with those that wait for it. */
+  readonly #accepting = new Map<string, (() => void)[]>();
+  readonly #cancelling = new Map<string, (() => void)[]>();
+  /** Jobs with occurrences that are not due yet, with the next one. */
+  readonly #timed = new Map<Job, number>();
+
+  private constructor(state: FleetState, runs: RunControl) {
+    this.#state = state;
+    this.#runs = runs;
+  }
+
+  /** Creates the decisions on a state. */
+  static create(state: FleetState, runs: RunControl): JobDesk {
+    return new JobDesk(state, runs);
+  }
+
+  /** Stores a job, and tells when it is accepted; a job that is known already is accepted at once. */
+  submit(submission: Submission, onAccepted: () => void): void {
+    const state = this.#state;
+    if (state.jobs.has(submission.id)) return onAccepted();
+    const waiting = this.#accepting.get(submission.id);
+    if (waiting !== undefined) {
+      waiting.push(onAccepted);
+      return;
+    }
+    const callbacks = [onAccepted];
+    this.#accepting.set(submission.id, callbacks);
+    const job = Job.create({ ...submission, acceptedAt: state.timeOfDay });
+    state.ports.write([createAcceptedEntry(job)], () => {
+      this.#accepting.delete(job.id);
+      state.jobs.set(job.id, job);
+      state.log("job-accepted", {
+        request: job.id,
+        queue: job.queue,
+        customer: job.customer,
+        steps: job.specification.steps.length,
+        repeats: job.specification.repeats,
+        version: state.configuration.version,
+      });
+      this.#schedule(job, TaskState.Waiting);
+      for (const callback of callbacks) callback();
+    });
+  }
+
+  /** Adds a job that an earlier owner stored. */
+  restore(job: Job): void {
+    this.#state.jobs.set(job.id, job);
+    if (job.outcome !== undefined) return;
+    for (const steps of job.occurrences.values()) {
+      for (const step of steps) this.#state.addIfReady(step);
+    }
+    this.#schedule(job, TaskState.Unknown);
+  }
+
+  /** Gets what a caller is told of a job, or undefined if there is none. */
+  getState(id: string): JobState | undefined {
+    return this.#state.jobs.get(id)?.getShownState();
+  }
+
+  /** Gets whether a job is being stored. */
+  isAccepting(id: string): boolean {
+    return this.#accepting.has(id);
+  }
+
+  /** Gets the number of a queue's jobs of which no task has started. */
+  getWaitingCount(queue: string): number {
+    let count = 0;
+    for (const job of this.#state.jobs.values()) {
+      if (job.queue === queue && !job.hasStarted && job.outcome === undefined) count += 1;
+    }
+    return count;
+  }
+
+  /** Cancels a job, and tells when that is stored. */
+  cancel(id: string, onCancelled: () => void): void {
+    const state = this.#state;
+    const job = state.jobs.get(id);
+    if (job === undefined) return onCancelled();
+    const waiting = this.#cancelling.get(id);
+    if (waiting !== undefined) {
+      waiting.push(onCancelled);
+      return;
+    }
+    if (job.outcome !== undefined && job.isOutcomeStored) return onCancelled();
+    const callbacks = [onCancelled];
+    this.#cancelling.set(id, callbacks);
+    this.#runs.endJob(job, JobState.Cancelled, "cancelled by its caller");
+    state.changedJobs.delete(job);
+    state.ports.write([createProgressEntry(job)], () => {
+      job.isOutcomeStored = true;
+      this.#cancelling.delete(id);
+      for (const callback of callbacks) callback();
+    });
+  }
+
+  /** Starts the occurrences that are due, and forgets jobs that ended long ago. */
+  tick(): void {
+    for (const [job, next] of this.#timed) {
+      if (job.outcome !== undefined) this.#timed.delete(job);
+      else this.#addDue(job, next, TaskState.Waiting);
+    }
+  }
+
+  /** Forgets the jobs that ended long ago. */
+  forget(): void {
+    const state = this.#state;
+    const oldest = state.timeOfDay - state.limits.rememberMilliseconds;
+    for (const job of state.jobs.values()) {
+      const isOld = job.outcome !== undefined && job.isOutcomeStored && job.endedAt < oldest;
+      if (!isOld || [...job.getTasks()].some((task) => task.run !== undefined)) continue;
+      state.jobs.delete(job.id);
+      state.ports.write(createForgottenEntries(job), () => {});
+    }
+  }
+
+  #schedule(job: Job, state: TaskState): void {
+    if (job.specification.repeats === 0) {
+      if (!job.occurrences.has(0) && !job.doneOccurrences.has(0)) {
+        this.#state.addOccurrence(job, 0, state);
+      }
+      return;
+    }
+    this.#addDue(job, 0, state);
+  }
+
+  #addDue(job: Job, first: number, state: TaskState): void {
+    let next = first;
+    while (next < job.getOccurrenceCount() && job.getDueAt(next) <= this.#state.timeOfDay) {
+      if (!job.occurrences.has(next) && !job.doneOccurrences.has(next)) {
+        this.#state.addOccurrence(job, next, state);
+      }
+      next += 1;
+    }
+    if (next < job.getOccurrenceCount()) this.#timed.set(job, next);
+    else this.#timed.delete(job);
+  }
+}
--- /dev/null
+++ b/src/owner/job_records.ts
@@ -0,0 +1,117 @@
+/** The journal's records of jobs: what was accepted, and how far it has come. */
+
+import { Decoder, Encoder } from "cbor-x";
+import { Job, JobState, TaskState } from "../fleet/job.ts";
+import { type JobSpecification, parseTaskName } from "../fleet/job_specification.ts";
+import type { JournalEntry } from "./owner_ports.ts";
+
+const ACCEPTED_PREFIX = "job/";
+const PROGRESS_PREFIX = "progress/";
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+interface AcceptedRecord {
+  queue: string;
+  customer: string;
+  specification: JobSpecification;
+  acceptedAt: number;
+}
+
+/** What is stored of one task: its index, failures and checkpoint. */
+type TaskRecord = [name: string, isDone: boolean, failures: number, checkpoint: string];
+
+interface ProgressRecord {
+  outcome?: JobState | undefined;
+  endedAt: number;
+  doneOccurrences: number[];
+  tasks: TaskRecord[];
+}
+
+/** Gets the entry that accepts a job. */
+export function createAcceptedEntry(job: Job): JournalEntry {
+  const { queue, customer, specification, acceptedAt } = job;
+  const record: AcceptedRecord = { queue, customer, specification, acceptedAt };
+  return { key: ACCEPTED_PREFIX + job.id, value: encoder.encode(record) };
+}
+
+/** Gets the entry that tells how far a job has come. */
+export function createProgressEntry(job: Job): JournalEntry {
+  const tasks: TaskRecord[] = [];
+  if (job.outcome === undefined) {
+    for (const task of job.getTasks()) {
+      const isDone = task.state === TaskState.Done;
+      if (!isDone && task.failures === 0 && task.checkpoint === "") continue;
+      tasks.push([task.name, isDone, task.failures, isDone ? "" : task.checkpoint]);
+    }
+  }
+  const record: ProgressRecord = {
+    outcome: job.outcome,
+    endedAt: job.endedAt,
+    doneOccurrences: [...job.doneOccurrences],
+    tasks,
+  };
+  return { key: PROGRESS_PREFIX + job.id, value: encoder.encode(record) };
+}
+
+/** Gets the entries that forget a job. */
+export function createForgottenEntries(job: Job): JournalEntry[] {
+  return [{ key: ACCEPTED_PREFIX + job.id }, { key: PROGRESS_PREFIX + job.id }];
+}
+
+/** What a journal holds of jobs. */
+export interface StoredJobs {
+  /** The jobs, without occurrences unless a task of them has a record. */
+  jobs: Job[];
+  /** The keys that could not be read, with the reason. */
+  unreadable: { key: string; reason: string }[];
+}
+
+/** Reads jobs from the newest value of each key. */
+export function readStoredJobs(entries: Iterable<readonly [string, Uint8Array]>): StoredJobs {
+  const accepted = new Map<string, Job>();
+  const progress: [string, Uint8Array][] = [];
+  const unreadable: StoredJobs["unreadable"] = [];
+  const read = (key: string, apply: () => void) => {
+    try {
+      apply();
+    } catch (error) {
+      unreadable.push({ key, reason: String(error) });
+    }
+  };
+  for (const [key, value] of entries) {
+    if (key.startsWith(PROGRESS_PREFIX)) progress.push([key, value]);
+    if (!key.startsWith(ACCEPTED_PREFIX)) continue;
+    read(key, () => {
+      const id = key.slice(ACCEPTED_PREFIX.length);
+      accepted.set(id, Job.create({ id, ...decoder.decode(value) as AcceptedRecord }));
+    });
+  }
+  for (const [key, value] of progress) {
+    const job = accepted.get(key.slice(PROGRESS_PREFIX.length));
+    if (job !== undefined) read(key, () => applyProgress(job, decoder.decode(value)));
+  }
+  return { jobs: [...accepted.values()], unreadable };
+}
+
+function applyProgress(job: Job, record: ProgressRecord): void {
+  job.outcome = record.outcome;
+  job.isOutcomeStored = record.outcome !== undefined;
+  job.endedAt = record.endedAt;
+  for (const occurrence of record.doneOccurrences) job.doneOccurrences.add(occurrence);
+  for (const [name, isDone, failures, checkpoint] of record.tasks) {
+    const parts = parseTaskName(name);
+    if (parts === undefined) continue;
+    if (!job.occurrences.has(parts.occurrence)) {
+      job.addOccurrence(parts.occurrence, TaskState.Unknown);
+    }
+    const task = job.getTask(parts.occurrence, parts.step, parts.index);
+    if (task === undefined) continue;
+    job.hasStarted = true;
+    task.failures = failures;
+    task.checkpoint = checkpoint;
+    if (!isDone) continue;
+    task.state = TaskState.Done;
+    task.step.doneCount += 1;
+  }
+}
--- /dev/null
+++ b/src/owner/look_control.ts
@@ -0,0 +1,224 @@
+/** Looks at executors: extends leases, and brings what is believed in line with what they report. */
+
+import type { AssignedRun, Executor } from "../fleet/executor.ts";
+import { TaskState } from "../fleet/job.ts";
+import { type Run, RunStage } from "../fleet/run.ts";
+import type { FleetState } from "./fleet_state.ts";
+import { type LookAnswer, type LookReport, OrderOutcome, type RunningRow } from "./owner_ports.ts";
+import { findTask, type RunControl } from "./run_control.ts";
+
+/** How long a report may wait for an end, in milliseconds: a third of the lease. */
+const LOOK_WAIT_MILLISECONDS = 1_000;
+/** The least time between two looks at one executor, in milliseconds, so that ends share a look. */
+const LOOK_PAUSE_MILLISECONDS = 25;
+/** The pause after a look that failed, in milliseconds. */
+const FAILED_LOOK_PAUSE_MILLISECONDS = 200;
+/** How long past its deadline an unanswered start counts as possible, in milliseconds. */
+const DOUBT_MARGIN_MILLISECONDS = 50;
+
+/** The decisions about looks. */
+export class LookControl {
+  readonly #state: FleetState;
+  readonly #runs: RunControl;
+
+  private constructor(state: FleetState, runs: RunControl) {
+    this.#state = state;
+    this.#runs = runs;
+  }
+
+  /** Creates the decisions on a state. */
+  static create(state: FleetState, runs: RunControl): LookControl {
+    return new LookControl(state, runs);
+  }
+
+  /** Sends the looks that are due, and ends what has lapsed. */
+  tick(): void {
+    for (const executor of this.#state.executors.values()) {
+      this.#endLapsed(executor);
+      if (this.#isLookDue(executor)) this.#look(executor);
+    }
+  }
+
+  /** Acts on the answer to a look that was sent at a time. */
+  handleAnswer(executorId: string, sentAt: number, answer: LookAnswer): void {
+    const state = this.#state;
+    const executor = state.executors.get(executorId);
+    if (executor === undefined) return;
+    executor.isLooking = false;
+    executor.lookedAt = state.now;
+    if (answer.outcome !== OrderOutcome.Done) {
+      return this.#handleFailedLook(executor, answer.outcome);
+    }
+    if (executor.failingSince !== undefined) {
+      state.log("executor-regained", {
+        executor: executor.id,
+        silent: Math.round(state.now - executor.failingSince),
+      });
+      executor.failingSince = undefined;
+    }
+    this.#handleReport(executor, sentAt, answer.report);
+  }
+
+  /** Ends everything on an executor that is known to be gone. */
+  endExecutor(executor: Executor, reason: string): void {
+    for (const assigned of [...executor.runs.values()]) {
+      this.#runs.handleLost(executor, assigned, reason);
+    }
+    this.#state.executors.delete(executor.id);
+    this.#state.log("executor-gone", { executor: executor.id, reason });
+  }
+
+  #isLookDue(executor: Executor): boolean {
+    if (executor.isLooking) return false;
+    const pause = executor.failingSince === undefined
+      ? LOOK_PAUSE_MILLISECONDS
+      : FAILED_LOOK_PAUSE_MILLISECONDS;
+    if (this.#state.now - executor.lookedAt < pause) return false;
+    return !executor.isFenced || executor.failingSince !== undefined || executor.runs.size > 0 ||
+      executor.storedEnd > executor.acknowledgedEnd;
+  }
+
+  #look(executor: Executor): void {
+    const state = this.#state;
+    const mayWait = executor.isFenced && executor.failingSince === undefined &&
+      executor.runs.size > 0 && ![...executor.runs.values()].some(({ run }) => isUnsettled(run));
+    executor.isLooking = true;
+    state.ports.look({
+      executor: executor.entry,
+      fence: state.fence,
+      acknowledged: executor.storedEnd,
+      deadline: state.mayExtend ? executor.grantDeadline(state.now, state.leaseMilliseconds) : 0,
+      waitMilliseconds: mayWait ? LOOK_WAIT_MILLISECONDS : 0,
+    });
+    executor.acknowledgedEnd = executor.storedEnd;
+  }
+
+  #handleFailedLook(executor: Executor, outcome: OrderOutcome): void {
+    const state = this.#state;
+    if (outcome === OrderOutcome.Gone) return this.endExecutor(executor, "another one answers");
+    if (executor.failingSince === undefined) {
+      executor.failingSince = state.now;
+      state.log("executor-lost", { executor: executor.id, outcome, runs: executor.runs.size });
+    }
+  }
+
+  #handleReport(executor: Executor, sentAt: number, report: LookReport): void {
+    const state = this.#state;
+    if (report.born !== 0 && executor.entry.born !== 0 && report.born !== executor.entry.born) {
+      const entry = { ...executor.entry, born: report.born };
+      this.endExecutor(executor, "it was born again");
+      return state.log("executor-reborn", { executor: entry.id, born: report.born });
+    }
+    executor.readClock({ executorTime: report.executorTime, receivedAt: state.now });
+    if (!executor.isFenced) {
+      executor.isFenced = true;
+      executor.assumeLease(state.limits.longestLeaseMilliseconds);
+      state.needsDispatch = true;
+    }
+    for (const row of report.ended) {
+      if (row.number <= executor.handledEnd) continue;
+      executor.handledEnd = row.number;
+      this.#runs.handleEnd(executor, row);
+    }
+    const listed = new Set<string>();
+    for (const row of report.running) {
+      listed.add(row.task);
+      this.#handleRow(executor, row);
+    }
+    for (const assigned of [...executor.runs.values()]) {
+      if (!listed.has(assigned.task.name)) this.#handleUnlisted(executor, assigned, sentAt);
+    }
+  }
+
+  #handleRow(executor: Executor, row: RunningRow): void {
+    const state = this.#state;
+    const assigned = executor.runs.get(row.task);
+    if (assigned === undefined || assigned.run.number !== row.run) {
+      return this.#adopt(executor, row);
+    }
+    const { run, task } = assigned;
+    if (run.stage === RunStage.Ordered) run.stage = RunStage.Running;
+    if (run.confirmedAt === 0) run.confirmedAt = state.now;
+    if (row.percent !== run.percent) run.progressedAt = state.now;
+    run.percent = row.percent;
+    run.usage = row.usage;
+    if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
+    const isOver = task.step.job.outcome !== undefined || task.state === TaskState.Done;
+    if (isOver || run.stage === RunStage.InDoubt || run.stage === RunStage.Stopping) {
+      this.#runs.stop(executor, assigned, isOver ? "job-over" : "start-unanswered");
+    }
+  }
+
+  /** Takes over a run that an earlier owner started, or stops what has no business running. */
+  #adopt(executor: Executor, row: RunningRow): void {
+    const state = this.#state;
+    const task = findTask(state, row.task);
+    const isWanted = task !== undefined && task.run === undefined &&
+      task.state === TaskState.Unknown && task.step.job.outcome === undefined;
+    if (!isWanted) {
+      state.log("stray-run-stopped", { task: row.task, run: row.run, executor: executor.id });
+      state.ports.stop({
+        executor: executor.entry,
+        task: row.task,
+        run: row.run,
+        fence: state.fence,
+      });
+      return;
+    }
+    const run: Run = {
+      task: row.task,
+      number: row.run,
+      executorId: executor.id,
+      stage: RunStage.Running,
+      orderedAt: state.now,
+      confirmedAt: state.now,
+      startDeadline: 0,
+      percent: row.percent,
+      progressedAt: state.now,
+      pace: 100,
+      pacedAt: 0,
+      usage: row.usage,
+    };
+    if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
+    state.addRun(executor, { run, task });
+    state.log("run-adopted", { request: task.step.job.id, task: row.task, executor: executor.id });
+  }
+
+  /** Settles a run that the executor does not list: it never came, is late, or was lost. */
+  #handleUnlisted(executor: Executor, assigned: AssignedRun, sentAt: number): void {
+    const { run } = assigned;
+    switch (run.stage) {
+      case RunStage.Ordered:
+        return;
+      case RunStage.InDoubt:
+        if (run.stopAnsweredAt !== undefined && run.stopAnsweredAt <= sentAt) {
+          return this.#runs.handleLost(executor, assigned, "stopped before it came");
+        }
+        if (executor.hasPassed(run.startDeadline + DOUBT_MARGIN_MILLISECONDS)) {
+          return this.#runs.handleLost(executor, assigned, "its start is void");
+        }
+        return this.#runs.stop(executor, assigned, "start-unanswered");
+      case RunStage.Running:
+        if (run.confirmedAt > sentAt) return;
+        return this.#runs.handleLost(executor, assigned, "not listed");
+      case RunStage.Stopping:
+        if (run.stopAnsweredAt === undefined) return this.#runs.stop(executor, assigned, "again");
+        if (run.stopAnsweredAt > sentAt) return;
+        return this.#runs.handleLost(executor, assigned, "stopped");
+    }
+  }
+
+  #endLapsed(executor: Executor): void {
+    const state = this.#state;
+    if (executor.runs.size === 0 || executor.failingSince === undefined) return;
+    if (state.now <= executor.getLapsedAt()) return;
+    for (const assigned of [...executor.runs.values()]) {
+      this.#runs.handleLost(executor, assigned, "its lease ran out");
+    }
+  }
+}
+
+/** Gets whether a run's state is to be settled by the next report. */
+function isUnsettled(run: Run): boolean {
+  return run.stage === RunStage.InDoubt;
+}
--- /dev/null
+++ b/src/owner/owner_task.ts
@@ -0,0 +1,432 @@
+/** Runs the owner's decisions while this process holds the claim. */
+
+import type { EventLog } from "../events/mod.ts";
+import type { Configuration } from "../fleet/configuration.ts";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import type { OperatorRequests } from "../fleet/maintenance_wave.ts";
+import {
+  type Answer,
+  AnswerOutcome,
+  authorizeCall,
+  CallKind,
+  createUnavailable,
+  isRefusal,
+} from "../front/call.ts";
+import type { ForwardedCall } from "../front/call_frame.ts";
+import { JournalTask } from "../ownership/journal_task.ts";
+import { AUTHORITY_MILLISECONDS } from "../ownership/ownership_task.ts";
+import type { JournalStore } from "../ownership/ownership_ports.ts";
+import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
+import { FleetOwner } from "./fleet_owner.ts";
+import type { OwnerLimits } from "./fleet_state.ts";
+import { readStoredJobs } from "./job_records.ts";
+import type {
+  LookAnswer,
+  LookOrder,
+  OrderAnswer,
+  OwnerPorts,
+  PaceOrder,
+  StartOrder,
+  StopOrder,
+} from "./owner_ports.ts";
+
+/** How often the owner does what time demands, in milliseconds. */
+const TICK_MILLISECONDS = 25;
+/** The pause before a step of the take-over is repeated, in milliseconds. */
+const TAKE_OVER_RETRY_MILLISECONDS = 50;
+/** The lease that a look grants, in milliseconds: three looks. */
+export const LEASE_MILLISECONDS = 3_000;
+/** How long a lease may last beyond the owner's last confirmation, in milliseconds. */
+const OUTAGE_LEASE_MILLISECONDS = 8_000;
+/** How long the store may be silent before leases are made to outlast an outage, in milliseconds. */
+const STORE_TROUBLE_MILLISECONDS = 1_200;
+/** How long the journal may fail before submissions are refused at once, in milliseconds. */
+const JOURNAL_TROUBLE_MILLISECONDS = 500;
+/** When callers come back while the store is away, in seconds. */
+const STORE_RETRY_SECONDS = 2;
+
+/** Sends orders to executors. */
+export interface ExecutorCalls {
+  /** Starts a run. */
+  start: (order: StartOrder) => Promise<OrderAnswer>;
+  /** Stops a run. */
+  stop: (order: StopOrder) => Promise<OrderAnswer>;
+  /** Sets a run's pace. */
+  pace: (order: PaceOrder) => Promise<OrderAnswer>;
+  /** Looks. */
+  look: (order: LookOrder) => Promise<LookAnswer>;
+}
+
+/** The messages that an `OwnerTask` takes. */
+export type OwnerMessage =
+  | { kind: "call"; call: ForwardedCall; reply: Reply<Answer> }
+  | { kind: "configuration"; configuration: Configuration; requests: OperatorRequests }
+  | { kind: "executors"; entries: readonly ExecutorEntry[] }
+  | { kind: "confirmed"; confirmedAt: number }
+  | { kind: "fence-set"; sequence: number }
+  | { kind: "stored-read"; entries: [string, Uint8Array][] }
+  | { kind: "start-answered"; order: StartOrder; answer: OrderAnswer; milliseconds: number }
+  | { kind: "stop-answered"; order: StopOrder; answer: OrderAnswer }
+  | { kind: "look-answered"; order: LookOrder; sentAt: number; answer: LookAnswer }
+  | { kind: "settle" }
+  | { kind: "tick" }
+  /** The process is stopping: nothing more is started, and the reply comes when all is stored. */
+  | { kind: "finish"; reply: Reply<void> };
+
+/** Options of an `OwnerTask`. */
+export interface OwnerTaskOptions {
+  /** The epoch of the claim, which is the fence at executors. */
+  epoch: number;
+  /** Whether the previous owner released its claim, so that nothing of it is on the way. */
+  isHandedOver: boolean;
+  /** Where the journal lasts. */
+  journalStore: JournalStore;
+  /** Sends orders. */
+  executors: ExecutorCalls;
+  /** The bounds and times. */
+  limits: OwnerLimits;
+  /** Tells that a higher epoch writes. */
+  onFenced: () => void;
+  /** Gets a measured time, in milliseconds. */
+  onMeasured: (name: "append" | "start" | "take-over", milliseconds: number) => void;
+  /** The clock of ages. */
+  clock: ElapsedClock;
+  /** The steady clock. */
+  getSteady: () => number;
+  /** Gets the time of day, in milliseconds since 1970. */
+  getTimeOfDay: () => number;
+  /** Logs decisions. */
+  log: EventLog;
+}
+
+/** Owns the decisions, and everything that they are made on. */
+export class OwnerTask extends Task<OwnerMessage> {
+  readonly #options: OwnerTaskOptions;
+  readonly #timer: NodeJS.Timeout;
+  readonly #startedAt: number;
+  #journal: JournalTask | undefined;
+  #stored: [string, Uint8Array][] | undefined;
+  #owner: FleetOwner | undefined;
+  #configuration: Configuration | undefined;
+  #requests: OperatorRequests = { evacuatedZones: new Set(), waves: new Map() };
+  #entries: readonly ExecutorEntry[] | undefined;
+  #confirmedAt: number;
+  #isFinishing = false;
+  #isSettling = false;
+  #early: { call: ForwardedCall; reply: Reply<Answer> }[] = [];
+
+  private constructor(options: OwnerTaskOptions) {
+    super({ name: "owner", mailboxCapacity: 100_000 });
+    this.#options = options;
+    this.#startedAt = options.getSteady();
+    this.#confirmedAt = options.clock.getElapsed();
+    this.#timer = setInterval(() => this.post({ kind: "tick" }), TICK_MILLISECONDS);
+  }
+
+  /** Creates the task and begins to take over. */
+  static create(options: OwnerTaskOptions): OwnerTask {
+    const task = new OwnerTask(options);
+    void task.#setFence(1);
+    return task;
+  }
+
+  protected override receive(message: OwnerMessage): void {
+    switch (message.kind) {
+      case "call":
+        return this.#handleCall(message.call, message.reply);
+      case "configuration":
+        this.#configuration = message.configuration;
+        this.#requests = message.requests;
+        this.#owner?.setConfiguration(message.configuration);
+        this.#owner?.setRequests(message.requests);
+        this.#tryStart();
+        break;
+      case "executors":
+        this.#entries = message.entries;
+        this.#setMoment();
+        this.#owner?.setExecutors(message.entries);
+        this.#tryStart();
+        break;
+      case "confirmed":
+        this.#confirmedAt = Math.max(this.#confirmedAt, message.confirmedAt);
+        return;
+      case "fence-set":
+        return this.#openJournal(message.sequence);
+      case "stored-read":
+        this.#stored = message.entries;
+        return this.#tryStart();
+      case "start-answered":
+        return this.#handleStartAnswer(message.order, message.answer, message.milliseconds);
+      case "stop-answered": {
+        const { order, answer } = message;
+        this.#setMoment();
+        this.#owner?.handleStopAnswer(order.executor.id, order.task, order.run, answer);
+        break;
+      }
+      case "look-answered":
+        this.#setMoment();
+        this.#owner?.handleLookAnswer(message.order.executor.id, message.sentAt, message.answer);
+        break;
+      case "settle":
+        this.#isSettling = false;
+        this.#setMoment();
+        this.#owner?.settle();
+        return;
+      case "tick":
+        this.#setMoment();
+        this.#owner?.tick();
+        break;
+      case "finish":
+        return this.#finish(message.reply);
+    }
+    this.#settleSoon();
+  }
+
+  override getState(): unknown {
+    return { epoch: this.#options.epoch, ...this.#owner?.getSummary() };
+  }
+
+  /** Gets what the metrics show. */
+  getSummary(): Readonly<Record<string, number>> {
+    return this.#owner?.getSummary() ?? {};
+  }
+
+  override stop(): void {
+    super.stop();
+    clearInterval(this.#timer);
+    this.#journal?.stop();
+  }
+
+  /** Ends the epochs before this one at the journal. */
+  async #setFence(sequence: number): Promise<void> {
+    const { journalStore, epoch, log, onFenced } = this.#options;
+    while (!this.isStopped()) {
+      const result = await journalStore.append([], epoch, sequence);
+      if (result.outcome === "done") {
+        this.post({ kind: "fence-set", sequence: sequence + 1 });
+        return;
+      }
+      if (result.outcome === "fenced") {
+        log("take-over-fenced", { step: "set-fence", epoch });
+        return onFenced();
+      }
+      log("take-over-delayed", { step: "set-fence", epoch, outcome: result.outcome });
+      await pause(TAKE_OVER_RETRY_MILLISECONDS);
+    }
+  }
+
+  #openJournal(firstSequence: number): void {
+    const { journalStore, epoch, log, onFenced, onMeasured } = this.#options;
+    this.#journal = JournalTask.create({
+      store: journalStore,
+      epoch,
+      firstSequence,
+      onFenced,
+      onAppended: (milliseconds) => onMeasured("append", milliseconds),
+      log,
+    });
+    void this.#readStored();
+  }
+
+  async #readStored(): Promise<void> {
+    while (!this.isStopped()) {
+      const entries = await this.#options.journalStore.readAll();
+      if (entries !== undefined) {
+        this.post({ kind: "stored-read", entries });
+        return;
+      }
+      this.#options.log("take-over-delayed", { step: "read-journal", epoch: this.#options.epoch });
+      await pause(TAKE_OVER_RETRY_MILLISECONDS);
+    }
+  }
+
+  /** Starts to decide once the journal, the list of executors and a configuration are there. */
+  #tryStart(): void {
+    if (this.#owner !== undefined || this.#configuration === undefined) return;
+    if (this.#entries === undefined || this.#stored === undefined) return;
+    const { epoch, limits, log, getSteady, isHandedOver, onMeasured } = this.#options;
+    const { jobs, unreadable } = readStoredJobs(this.#stored);
+    for (const { key, reason } of unreadable) log("journal-entry-unreadable", { key, reason });
+    const startedAt = getSteady();
+    this.#owner = FleetOwner.create({
+      fence: epoch,
+      limits,
+      ports: this.#createPorts(),
+      log,
+      startedAt,
+      timeOfDay: this.#options.getTimeOfDay(),
+      configuration: this.#configuration,
+      jobs,
+      executors: this.#entries,
+      doubtMilliseconds: isHandedOver
+        ? LEASE_MILLISECONDS + AUTHORITY_MILLISECONDS
+        : OUTAGE_LEASE_MILLISECONDS + AUTHORITY_MILLISECONDS,
+    });
+    this.#owner.setRequests(this.#requests);
+    this.#stored = [];
+    const milliseconds = startedAt - this.#startedAt;
+    onMeasured("take-over", milliseconds);
+    log("take-over-done", {
+      epoch,
+      handedOver: isHandedOver,
+      jobs: jobs.length,
+      executors: this.#entries.length,
+      took: Math.round(milliseconds),
+    });
+    const early = this.#early;
+    this.#early = [];
+    for (const { call, reply } of early) this.#handleCall(call, reply);
+    this.#settleSoon();
+  }
+
+  #createPorts(): OwnerPorts {
+    const { executors, getSteady } = this.#options;
+    return {
+      start: (order) => {
+        const sentAt = getSteady();
+        void executors.start(order).then((answer) =>
+          this.post({
+            kind: "start-answered",
+            order,
+            answer,
+            milliseconds: getSteady() - sentAt,
+          })
+        );
+      },
+      stop: (order) =>
+        void executors.stop(order).then((answer) =>
+          this.post({ kind: "stop-answered", order, answer })
+        ),
+      pace: (order) => void executors.pace(order),
+      look: (order) => {
+        const sentAt = getSteady();
+        void executors.look(order).then((answer) =>
+          this.post({ kind: "look-answered", order, sentAt, answer })
+        );
+      },
+      write: (entries, onStored) =>
+        void this.#journal?.post({
+          kind: "write",
+          entries,
+          onStored: () => {
+            this.#setMoment();
+            onStored();
+            this.#settleSoon();
+          },
+        }),
+    };
+  }
+
+  #setMoment(): void {
+    const { clock, getSteady, getTimeOfDay } = this.#options;
+    const age = clock.getElapsed() - this.#confirmedAt;
+    const leaseMilliseconds = age < STORE_TROUBLE_MILLISECONDS
+      ? LEASE_MILLISECONDS
+      : OUTAGE_LEASE_MILLISECONDS - age;
+    this.#owner?.setMoment({
+      now: getSteady(),
+      timeOfDay: getTimeOfDay(),
+      mayStart: age < AUTHORITY_MILLISECONDS && !this.#isFinishing,
+      mayExtend: leaseMilliseconds > 0 && !this.#isFinishing,
+      leaseMilliseconds,
+    });
+  }
+
+  /** Lets the decisions settle once for all messages of this turn. */
+  #settleSoon(): void {
+    if (this.#isSettling || this.#owner === undefined) return;
+    this.#isSettling = true;
+    setImmediate(() => this.post({ kind: "settle" }));
+  }
+
+  #handleStartAnswer(order: StartOrder, answer: OrderAnswer, milliseconds: number): void {
+    this.#options.onMeasured("start", milliseconds);
+    this.#setMoment();
+    this.#owner?.handleStartAnswer(order.executor.id, order.task, order.run, answer);
+    this.#settleSoon();
+  }
+
+  #handleCall(call: ForwardedCall, reply: Reply<Answer>): void {
+    if (this.#isFinishing) return reply({ outcome: AnswerOutcome.NotOwner });
+    if (this.#owner === undefined || this.#configuration === undefined) {
+      this.#early.push({ call, reply });
+      return;
+    }
+    this.#setMoment();
+    const allowed = this.#authorize(call);
+    if ("outcome" in allowed) return reply(allowed);
+    const owner = this.#owner;
+    switch (call.kind) {
+      case CallKind.Submit:
+        this.#submit(call, allowed.queue, allowed.customer, reply);
+        break;
+      case CallKind.Cancel:
+        if (owner.getJobState(call.jobId) === undefined) return reply(this.#getUnknown());
+        owner.cancel(call.jobId, () => reply({ outcome: AnswerOutcome.Cancelled }));
+        break;
+      case CallKind.State: {
+        const state = owner.getJobState(call.jobId);
+        if (state === undefined) return reply(this.#getUnknown());
+        return reply({ outcome: AnswerOutcome.Shown, state });
+      }
+      case CallKind.Waiting:
+        return reply({
+          outcome: AnswerOutcome.Counted,
+          waiting: owner.getWaitingCount(allowed.queue),
+        });
+    }
+    this.#settleSoon();
+  }
+
+  /** Judges a call again where the configuration here is newer than where it came in. */
+  #authorize(call: ForwardedCall): Answer | { queue: string; customer: string } {
+    const configuration = this.#configuration!;
+    if (configuration.version <= call.version) {
+      return { queue: call.queue, customer: call.customer };
+    }
+    const authorized = authorizeCall(call, configuration);
+    if (isRefusal(authorized)) return authorized;
+    return { queue: authorized.queue.name, customer: authorized.customer?.name ?? "" };
+  }
+
+  #submit(call: ForwardedCall, queue: string, customer: string, reply: Reply<Answer>): void {
+    const { specification, jobId } = call;
+    if (specification === undefined) {
+      return reply({ outcome: AnswerOutcome.Malformed, reason: "the job is missing" });
+    }
+    const owner = this.#owner!;
+    const isKnown = owner.getJobState(jobId) !== undefined || owner.isAccepting(jobId);
+    const failingSince = this.#journal?.getFailingSince();
+    const isStoreAway = failingSince !== undefined &&
+      performance.now() - failingSince > JOURNAL_TROUBLE_MILLISECONDS;
+    if (!isKnown && isStoreAway) {
+      return reply(createUnavailable("the store does not answer", STORE_RETRY_SECONDS));
+    }
+    owner.submit({ id: jobId, queue, customer, specification }, () => {
+      reply({ outcome: AnswerOutcome.Accepted });
+    });
+  }
+
+  /** Gets what is said of a job that is not known: only an owner that is sure says so. */
+  #getUnknown(): Answer {
+    const age = this.#options.clock.getElapsed() - this.#confirmedAt;
+    if (age < AUTHORITY_MILLISECONDS) return { outcome: AnswerOutcome.UnknownJob };
+    return createUnavailable("the owner is not sure that it still is");
+  }
+
+  #finish(reply: Reply<void>): void {
+    this.#isFinishing = true;
+    this.#setMoment();
+    const { epoch, log } = this.#options;
+    log("hand-over-begun", { epoch });
+    for (const early of this.#early) early.reply({ outcome: AnswerOutcome.NotOwner });
+    this.#early = [];
+    if (this.#journal === undefined) return reply();
+    // Entries are stored in order, so this is stored after all that came before it.
+    this.#journal.post({ kind: "write", entries: [], onStored: reply });
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/platform/job_decoding.ts
@@ -0,0 +1,75 @@
+/** Decodes the jobs that callers submit. */
+
+import { z } from "zod";
+import type { JobSpecification } from "../fleet/job_specification.ts";
+
+/** The longest text of a job, in bytes. */
+const LONGEST_TEXT_BYTES = 4_000;
+
+const stepSchema = z.object({
+  count: z.number().int().min(1),
+  cpu: z.number().min(0).default(0),
+  memMb: z.number().min(0).default(0),
+  gpu: z.number().min(0).default(0),
+  estRuntimeMs: z.number().min(0).default(0),
+  after: z.array(z.number().int().min(0)).default([]),
+  gang: z.boolean().default(false),
+  sameRack: z.boolean().default(false),
+  // A label that the executor must have, despite the plural.
+  constraints: z.union([z.string(), z.array(z.string())]).optional(),
+  affinity: z.string().optional(),
+  antiAffinity: z.number().default(0),
+  speculative: z.boolean().default(false),
+  longRunning: z.boolean().default(false),
+  image: z.string().optional(),
+  targetMs: z.number().default(0),
+  fills: z.boolean().default(false),
+  mayMiss: z.number().default(0),
+});
+
+const jobSchema = z.object({
+  taskSpec: z.string().refine((text) => Buffer.byteLength(text) <= LONGEST_TEXT_BYTES),
+  steps: z.array(stepSchema).min(1),
+  repeats: z.number().int().min(0).default(0),
+  firstRunMs: z.number().default(0),
+  intervalMs: z.number().default(0),
+  longRunning: z.boolean().default(false),
+}).refine(
+  ({ steps }) => steps.every((step, index) => step.after.every((earlier) => earlier < index)),
+  {
+    message: "a step may come after earlier steps only",
+  },
+);
+
+/** Decodes a job, or gets the reason why it is none. */
+export function decodeJob(value: unknown): JobSpecification | string {
+  const parsed = jobSchema.safeParse(value);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    return `${issue?.path.join(".")}: ${issue?.message}`;
+  }
+  const { data } = parsed;
+  return {
+    text: data.taskSpec,
+    repeats: data.repeats,
+    firstAt: data.firstRunMs,
+    intervalMilliseconds: data.intervalMs,
+    steps: data.steps.map((step) => ({
+      count: step.count,
+      demand: { cpu: step.cpu, memory: step.memMb, accelerators: step.gpu },
+      estimatedMilliseconds: step.estRuntimeMs,
+      after: step.after,
+      isGang: step.gang,
+      wantsSameRack: step.sameRack,
+      label: Array.isArray(step.constraints) ? step.constraints[0] : step.constraints || undefined,
+      rack: step.affinity || undefined,
+      mostPerExecutor: step.antiAffinity,
+      isSpeculative: step.speculative,
+      isLasting: step.longRunning || data.longRunning,
+      image: step.image,
+      tailMilliseconds: step.targetMs,
+      isFiller: step.fills,
+      mostAway: step.mayMiss,
+    })),
+  };
+}
--- /dev/null
+++ b/src/platform/store_ports.ts
@@ -0,0 +1,67 @@
+/** The project's journal, claims and followed topics on the platform's store. */
+
+import { Decoder, Encoder } from "cbor-x";
+import type {
+  AppendClaim,
+  Claim,
+  ClaimAppendResult,
+  JournalStore,
+} from "../ownership/ownership_ports.ts";
+import { encodeKeyedRecord, type StoreClient } from "./store_client.ts";
+
+/** The topic of claims. */
+export const CLAIMS_TOPIC = "keyed.claims";
+/** The key of the claim on the whole fleet. */
+export const FLEET_CLAIM_KEY = "fleet";
+/** The topic of the owner's journal. */
+const JOURNAL_TOPIC = "keyed.journal";
+/** The producer of the journal: one name for all owners, since an epoch only fences its own producer. */
+const JOURNAL_PRODUCER = "fleet-owner";
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+/** Creates the journal on the store. */
+export function createJournalStore(store: StoreClient): JournalStore {
+  const partition = { topic: JOURNAL_TOPIC, part: 0 };
+  return {
+    append: async (entries, epoch, sequence) => {
+      const result = await store.append({
+        ...partition,
+        records: entries.map((entry) => encodeKeyedRecord(entry.key, entry.value)),
+        producer: { name: JOURNAL_PRODUCER, epoch, sequence },
+      });
+      if (result.outcome === "wrong-end") return { outcome: "refused", status: 412 };
+      return result;
+    },
+    readAll: async () => {
+      const newest = await store.readNewest(partition);
+      if (newest.outcome !== "done") return undefined;
+      return newest.values.map(({ key, value }) => [key, value]);
+    },
+  };
+}
+
+/** Creates the append of claims on the store. */
+export function createClaimAppend(store: StoreClient): AppendClaim {
+  return async (claim, at): Promise<ClaimAppendResult> => {
+    const result = await store.append({
+      topic: CLAIMS_TOPIC,
+      part: 0,
+      records: [encodeKeyedRecord(FLEET_CLAIM_KEY, encoder.encode(claim))],
+      at,
+    });
+    if (result.outcome === "done") return { outcome: "done", end: result.end };
+    return { outcome: result.outcome === "wrong-end" ? "lost" : "failed" };
+  };
+}
+
+/** Decodes a claim, or gets undefined if the value is none. */
+export function decodeClaim(value: Buffer): Claim | undefined {
+  try {
+    const claim = decoder.decode(value) as Claim;
+    return typeof claim?.epoch === "number" && typeof claim.holder === "string" ? claim : undefined;
+  } catch {
+    return undefined;
+  }
+}
