Maintain hosts in waves, a few at a time within the budgets of lasting tasks

Hosts are closed, emptied, ordered under the owner's epoch after that is stored, and reopened when listed again.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -5,16 +5,19 @@
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { Job, JobState } from "../fleet/job.ts";
 import { TaskState } from "../fleet/job.ts";
+import type { Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { OperatorRequests } from "../fleet/maintenance_wave.ts";
 import { Dispatch, NO_TICKET } from "./dispatch.ts";
 import { FleetState, type FleetStateOptions } from "./fleet_state.ts";
 import { JobDesk, type Submission } from "./job_desk.ts";
+import { HostControl } from "./host_control.ts";
 import { createArrivalOrder } from "./job_order.ts";
 import { createProgressEntry } from "./job_records.ts";
 import { LookControl } from "./look_control.ts";
+import { Maintenance } from "./maintenance.ts";
 import { rankLeastLoaded } from "./placement.ts";
 import { RunControl } from "./run_control.ts";
-import type { LookAnswer, OrderAnswer } from "./owner_ports.ts";
+import type { LookAnswer, MaintainOrder, OrderAnswer } from "./owner_ports.ts";
 
 /** What holds at the moment of a decision. */
 export interface OwnerMoment {
@@ -40,6 +43,12 @@
   jobs: readonly Job[];
   /** The executors that are listed. */
   executors: readonly ExecutorEntry[];
+  /** What earlier owners stored, by key. */
+  stored: readonly (readonly [string, Uint8Array])[];
+  /** How long this owner waits before its first order to a host, in milliseconds. */
+  hostOrderDelayMilliseconds: number;
+  /** How long a host is away for maintenance, in milliseconds. */
+  maintenanceMilliseconds: number;
   /** How long an earlier owner's starts may still run where this one cannot look, in milliseconds. */
   doubtMilliseconds: number;
 }
@@ -49,6 +58,11 @@
 /** How fast the memory of an executor's failures fades: it halves in this time, in milliseconds. */
 const FAILURE_HALF_LIFE_MILLISECONDS = 4_000;
 
+/** How often the provider's list is read while hosts are being moved or maintained, in milliseconds. */
+const BUSY_LIST_MILLISECONDS = 300;
+/** How often the provider's list is read otherwise, in milliseconds. */
+const IDLE_LIST_MILLISECONDS = 3_000;
+
 /** All decisions of the owner: events in, orders out through its ports. */
 export class FleetOwner {
   readonly #state: FleetState;
@@ -56,10 +70,13 @@
   readonly #looks: LookControl;
   readonly #desk: JobDesk;
   readonly #dispatch: Dispatch;
+  readonly #hosts: HostControl;
+  readonly #maintenance: Maintenance;
   readonly #doubtUntil: number;
   /** The executors that the earlier owner used and that have not answered this one. */
   readonly #unsettled = new Set<string>();
   #hasUnknown = true;
+  #askedAt = -Infinity;
   #forgotAt = 0;
   #decayedAt = 0;
 
@@ -78,6 +95,14 @@
       rankExecutor: rankLeastLoaded,
       getTicket: () => NO_TICKET,
     });
+    this.#hosts = HostControl.create(this.#state, this.#runs);
+    this.#maintenance = Maintenance.create({
+      state: this.#state,
+      hosts: this.#hosts,
+      mayOrderFrom: options.startedAt + options.hostOrderDelayMilliseconds,
+      awayMilliseconds: options.maintenanceMilliseconds,
+      stored: options.stored,
+    });
     this.#doubtUntil = options.startedAt + options.doubtMilliseconds;
     for (const job of options.jobs) this.#desk.restore(job);
     for (const entry of options.executors) this.#unsettled.add(entry.id);
@@ -108,6 +133,7 @@
   /** Sets what operators have asked for. */
   setRequests(requests: OperatorRequests): void {
     this.#state.evacuatedZones = requests.evacuatedZones;
+    this.#maintenance.setWaves(requests.waves);
     this.#state.needsDispatch = true;
   }
 
@@ -168,6 +194,16 @@
     this.#settleUnknown();
   }
 
+  /** Sets the provider's list of hosts. */
+  setHosts(hosts: readonly Host[]): void {
+    this.#hosts.setHosts(hosts);
+  }
+
+  /** Acts on the answer to an order to maintain a host. */
+  handleMaintainAnswer(order: MaintainOrder, outcome: HostOrderOutcome): void {
+    this.#maintenance.handleAnswer(order, outcome);
+  }
+
   /** Does what time demands. */
   tick(): void {
     const state = this.#state;
@@ -178,6 +214,8 @@
       this.#desk.forget();
     }
     this.#decayFailures();
+    this.#askForHosts();
+    this.#maintenance.tick();
     state.needsDispatch = true;
   }
 
@@ -202,6 +240,14 @@
     };
   }
 
+  #askForHosts(): void {
+    const state = this.#state;
+    const interval = this.#maintenance.isActive() ? BUSY_LIST_MILLISECONDS : IDLE_LIST_MILLISECONDS;
+    if (!state.mayStart || state.now - this.#askedAt < interval) return;
+    this.#askedAt = state.now;
+    state.ports.listHosts();
+  }
+
   #setExecutor(entry: ExecutorEntry): void {
     const state = this.#state;
     const known = state.executors.get(entry.id);
--- /dev/null
+++ b/src/owner/host_control.ts
@@ -0,0 +1,102 @@
+/** Empties hosts for planned actions, and knows which are where. */
+
+import type { Executor } from "../fleet/executor.ts";
+import { type Host, HostState } from "../fleet/host.ts";
+import type { FleetState } from "./fleet_state.ts";
+import { mayBeStopped } from "./lasting_budget.ts";
+import type { RunControl } from "./run_control.ts";
+
+/** The decisions about single hosts. */
+export class HostControl {
+  readonly #state: FleetState;
+  readonly #runs: RunControl;
+  #hosts = new Map<string, Host>();
+  #listedAt = -Infinity;
+
+  private constructor(state: FleetState, runs: RunControl) {
+    this.#state = state;
+    this.#runs = runs;
+  }
+
+  /** Creates the decisions on a state. */
+  static create(state: FleetState, runs: RunControl): HostControl {
+    return new HostControl(state, runs);
+  }
+
+  /** Sets the provider's list. */
+  setHosts(hosts: readonly Host[]): void {
+    this.#hosts = new Map(hosts.map((host) => [host.name, host]));
+    this.#listedAt = this.#state.now;
+  }
+
+  /** Gets when the list was set last, on the steady clock. */
+  getListedAt(): number {
+    return this.#listedAt;
+  }
+
+  /** Gets the hosts by name. */
+  getHosts(): ReadonlyMap<string, Host> {
+    return this.#hosts;
+  }
+
+  /** Gets the executor on a host. */
+  getExecutor(host: Host): Executor | undefined {
+    const named = this.#state.executors.get(host.executorId);
+    if (named !== undefined) return named;
+    for (const executor of this.#state.executors.values()) {
+      if (executor.entry.host === host.name) return executor;
+    }
+    return undefined;
+  }
+
+  /** Lets nothing more start on a host, and stops the lasting tasks there as their budgets allow. */
+  empty(host: Host): void {
+    const executor = this.getExecutor(host);
+    if (executor === undefined) return;
+    executor.isClosed = true;
+    for (const assigned of executor.runs.values()) {
+      if (!assigned.task.step.specification.isLasting) continue;
+      if (mayBeStopped(assigned.task)) this.#runs.stop(executor, assigned, "the host is emptied");
+    }
+  }
+
+  /** Stops everything that is left on a host, as far as budgets allow. */
+  clear(host: Host): void {
+    const executor = this.getExecutor(host);
+    if (executor === undefined) return;
+    for (const assigned of executor.runs.values()) {
+      if (mayBeStopped(assigned.task)) this.#runs.stop(executor, assigned, "the host is cleared");
+    }
+  }
+
+  /** Lets tasks start on a host again. */
+  reopen(host: Host): void {
+    const executor = this.getExecutor(host);
+    if (executor === undefined || !executor.isClosed) return;
+    executor.isClosed = false;
+    this.#state.needsDispatch = true;
+  }
+
+  /** Gets whether nothing runs on a host and nothing can start there. */
+  isEmpty(host: Host): boolean {
+    const executor = this.getExecutor(host);
+    return executor === undefined || executor.runs.size === 0;
+  }
+
+  /** Gets how much work is on a host, in runs; lasting ones count more, since they move one by one. */
+  getBurden(host: Host): number {
+    let burden = 0;
+    for (const { task } of this.getExecutor(host)?.runs.values() ?? []) {
+      burden += task.step.specification.isLasting ? LASTING_BURDEN : 1;
+    }
+    return burden;
+  }
+
+  /** Gets whether a host serves in its pool. */
+  isUp(host: Host): boolean {
+    return host.state === HostState.Up;
+  }
+}
+
+/** How many short runs a lasting one counts for when hosts are chosen to be emptied. */
+const LASTING_BURDEN = 10;
--- /dev/null
+++ b/src/owner/maintenance.ts
@@ -0,0 +1,292 @@
+/** Waves of maintenance: empties hosts a few at a time, and has their provider maintain them. */
+
+import { Decoder, Encoder } from "cbor-x";
+import { HostOrderOutcome } from "../fleet/host.ts";
+import type { MaintenanceWave } from "../fleet/maintenance_wave.ts";
+import type { FleetState } from "./fleet_state.ts";
+import type { HostControl } from "./host_control.ts";
+import type { JournalEntry, MaintainOrder } from "./owner_ports.ts";
+
+const WAVE_PREFIX = "wave/";
+/** How long a host may take beyond its maintenance before it counts as back anyway, in milliseconds. */
+const OVERDUE_MILLISECONDS = 4_000;
+/** The pause before an order that failed is repeated, in milliseconds. */
+const RETRY_MILLISECONDS = 300;
+/** How long the short tasks of a host may take to end before they are stopped, in milliseconds. */
+const PATIENCE_MILLISECONDS = 3_000;
+/** The part of a wave's time that is planned with. */
+const PLANNED_PART = 0.7;
+
+const encoder = new Encoder({ useRecords: false });
+const decoder = new Decoder({ useRecords: false });
+
+/** How far a host of a wave has come. */
+const Stage = {
+  /** It waits for its turn. */
+  Waiting: "waiting",
+  /** It is being emptied. */
+  Emptying: "emptying",
+  /** That it is ordered is being stored. */
+  Storing: "storing",
+  /** The order is on its way. */
+  Ordered: "ordered",
+  /** It is away. */
+  Away: "away",
+  /** It has begun its maintenance and is back, or it left for good. */
+  Done: "done",
+} as const;
+type Stage = typeof Stage[keyof typeof Stage];
+
+interface Place {
+  name: string;
+  stage: Stage;
+  since: number;
+  /** The executor that it had when it was ordered. */
+  executorId: string;
+  retryAt: number;
+}
+
+interface WaveProgress {
+  wave: MaintenanceWave;
+  places: Map<string, Place>;
+  startedAt: number;
+  isCompleted: boolean;
+}
+
+/** Options of a `Maintenance`. */
+export interface MaintenanceOptions {
+  /** The state. */
+  state: FleetState;
+  /** The decisions about hosts. */
+  hosts: HostControl;
+  /** From when on this owner may order, on the steady clock. */
+  mayOrderFrom: number;
+  /** How long a host is away, in milliseconds. */
+  awayMilliseconds: number;
+  /** What earlier owners stored of waves. */
+  stored: Iterable<readonly [string, Uint8Array]>;
+}
+
+/** The decisions about waves. */
+export class Maintenance {
+  readonly #options: MaintenanceOptions;
+  readonly #waves = new Map<number, WaveProgress>();
+  readonly #doneBefore = new Map<number, { done: string[]; isCompleted: boolean }>();
+
+  private constructor(options: MaintenanceOptions) {
+    this.#options = options;
+    for (const [key, value] of options.stored) {
+      if (!key.startsWith(WAVE_PREFIX)) continue;
+      const record = decoder.decode(value) as { done: string[]; isCompleted: boolean };
+      this.#doneBefore.set(Number(key.slice(WAVE_PREFIX.length)), record);
+    }
+  }
+
+  /** Creates the decisions from what earlier owners stored. */
+  static create(options: MaintenanceOptions): Maintenance {
+    return new Maintenance(options);
+  }
+
+  /** Sets the waves that operators ask for. */
+  setWaves(waves: ReadonlyMap<number, MaintenanceWave>): void {
+    for (const [number, wave] of waves) {
+      if (!this.#waves.has(number)) this.#addWave(wave);
+    }
+  }
+
+  /** Gets whether a wave is not completed. */
+  isActive(): boolean {
+    for (const progress of this.#waves.values()) if (!progress.isCompleted) return true;
+    return false;
+  }
+
+  /** Gets whether a host is being emptied or maintained. */
+  isBusy(host: string): boolean {
+    for (const { places } of this.#waves.values()) {
+      const place = places.get(host);
+      if (place !== undefined && place.stage !== Stage.Waiting && place.stage !== Stage.Done) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Gets whether a host still has maintenance before it. */
+  isDue(host: string): boolean {
+    for (const { places } of this.#waves.values()) {
+      const place = places.get(host);
+      if (place !== undefined && place.stage !== Stage.Done) return true;
+    }
+    return false;
+  }
+
+  /** Takes the next steps. */
+  tick(): void {
+    const { state, hosts } = this.#options;
+    if (!state.mayStart || hosts.getListedAt() < state.startedAt) return;
+    for (const progress of this.#waves.values()) {
+      if (!progress.isCompleted) this.#advance(progress);
+    }
+  }
+
+  /** Acts on the answer to an order. */
+  handleAnswer(order: MaintainOrder, outcome: HostOrderOutcome): void {
+    const { state, hosts } = this.#options;
+    const place = this.#waves.get(order.wave)?.places.get(order.host);
+    if (place === undefined || place.stage !== Stage.Ordered) return;
+    state.log("maintenance-answered", { host: order.host, wave: order.wave, outcome });
+    switch (outcome) {
+      case HostOrderOutcome.Done:
+        return this.#setStage(place, Stage.Away);
+      case HostOrderOutcome.Impossible: {
+        this.#setStage(place, Stage.Done);
+        const host = hosts.getHosts().get(order.host);
+        if (host !== undefined) hosts.reopen(host);
+        return;
+      }
+      default:
+        // Repeating is harmless: the order for one wave is carried out once.
+        place.retryAt = state.now + RETRY_MILLISECONDS;
+    }
+  }
+
+  #addWave(wave: MaintenanceWave): void {
+    const { state } = this.#options;
+    const before = this.#doneBefore.get(wave.number);
+    const done = new Set(before?.done ?? []);
+    const places = wave.hosts.map((name): [string, Place] => [name, {
+      name,
+      stage: done.has(name) ? Stage.Done : Stage.Waiting,
+      since: state.now,
+      executorId: "",
+      retryAt: 0,
+    }]);
+    this.#waves.set(wave.number, {
+      wave,
+      places: new Map(places),
+      startedAt: state.now,
+      isCompleted: before?.isCompleted ?? false,
+    });
+    state.ports.writeStatus(wave.number, before?.isCompleted ?? false);
+  }
+
+  #advance(progress: WaveProgress): void {
+    const { state, hosts } = this.#options;
+    let open = 0;
+    for (const place of progress.places.values()) {
+      this.#advancePlace(progress, place);
+      if (place.stage !== Stage.Waiting && place.stage !== Stage.Done) open += 1;
+    }
+    const waiting = [...progress.places.values()].filter(({ stage }) => stage === Stage.Waiting);
+    const known = waiting.map((place) => hosts.getHosts().get(place.name))
+      .filter((host) => host !== undefined);
+    known.sort((first, second) => hosts.getBurden(first) - hosts.getBurden(second));
+    const width = this.#getWidth(progress, waiting.length + open);
+    for (const host of known.slice(0, Math.max(0, width - open))) {
+      if (!hosts.isUp(host)) continue;
+      this.#setStage(progress.places.get(host.name)!, Stage.Emptying);
+      state.log("host-emptied", {
+        host: host.name,
+        wave: progress.wave.number,
+        burden: hosts.getBurden(host),
+      });
+    }
+    if (open === 0 && waiting.length === 0) this.#complete(progress);
+  }
+
+  /** Gets how many hosts are worked on at once: as few as the time allows, at most the ceiling. */
+  #getWidth(progress: WaveProgress, left: number): number {
+    const { state, awayMilliseconds } = this.#options;
+    const { wave, startedAt } = progress;
+    const plannedEnd = startedAt + wave.durationMilliseconds * PLANNED_PART;
+    const timeLeft = Math.max(1, plannedEnd - state.now);
+    const eachMilliseconds = awayMilliseconds + PATIENCE_MILLISECONDS;
+    const needed = Math.ceil(left * eachMilliseconds / timeLeft);
+    return Math.max(1, Math.min(wave.ceiling, needed));
+  }
+
+  #advancePlace(progress: WaveProgress, place: Place): void {
+    const { state, hosts, mayOrderFrom, awayMilliseconds } = this.#options;
+    const host = hosts.getHosts().get(place.name);
+    switch (place.stage) {
+      case Stage.Waiting:
+        if (host === undefined) this.#setStage(place, Stage.Done);
+        return;
+      case Stage.Emptying:
+        if (host === undefined) return this.#setStage(place, Stage.Done);
+        hosts.empty(host);
+        if (state.now - place.since > PATIENCE_MILLISECONDS) hosts.clear(host);
+        if (!hosts.isEmpty(host) || state.now < mayOrderFrom) return;
+        place.executorId = host.executorId;
+        return this.#order(progress, place);
+      case Stage.Storing:
+        return;
+      case Stage.Ordered:
+        if (place.retryAt !== 0 && state.now >= place.retryAt) this.#send(progress, place);
+        return;
+      case Stage.Away: {
+        const isBack = host === undefined ||
+          (hosts.isUp(host) && hosts.getListedAt() > place.since + awayMilliseconds / 2 &&
+            host.executorId !== "" && state.executors.get(host.executorId)?.isFenced === true);
+        const isOverdue = state.now - place.since > awayMilliseconds + OVERDUE_MILLISECONDS &&
+          (host === undefined || hosts.isUp(host));
+        if (isBack || isOverdue) this.#finish(progress, place);
+      }
+    }
+  }
+
+  /** Stores that a host is ordered, then orders it. */
+  #order(progress: WaveProgress, place: Place): void {
+    this.#setStage(place, Stage.Storing);
+    this.#options.state.ports.write([this.#createEntry(progress)], () => {
+      if (place.stage !== Stage.Storing) return;
+      this.#setStage(place, Stage.Ordered);
+      this.#send(progress, place);
+    });
+  }
+
+  #send(progress: WaveProgress, place: Place): void {
+    const { state, hosts } = this.#options;
+    place.retryAt = 0;
+    const host = hosts.getHosts().get(place.name);
+    if (!state.mayStart || (host !== undefined && !hosts.isEmpty(host))) {
+      place.retryAt = state.now + RETRY_MILLISECONDS;
+      return;
+    }
+    state.ports.maintain({ host: place.name, wave: progress.wave.number, fence: state.fence });
+  }
+
+  #finish(progress: WaveProgress, place: Place): void {
+    const { state, hosts } = this.#options;
+    this.#setStage(place, Stage.Done);
+    const host = hosts.getHosts().get(place.name);
+    if (host !== undefined) hosts.reopen(host);
+    state.ports.write([this.#createEntry(progress)], () => {});
+  }
+
+  #complete(progress: WaveProgress): void {
+    const { state } = this.#options;
+    progress.isCompleted = true;
+    const { number } = progress.wave;
+    state.ports.write([this.#createEntry(progress)], () => state.ports.writeStatus(number, true));
+    state.log("wave-completed", {
+      wave: number,
+      took: Math.round(state.now - progress.startedAt),
+      asked: progress.wave.durationMilliseconds,
+    });
+  }
+
+  #setStage(place: Place, stage: Stage): void {
+    place.stage = stage;
+    place.since = this.#options.state.now;
+    place.retryAt = 0;
+  }
+
+  #createEntry(progress: WaveProgress): JournalEntry {
+    const done = [...progress.places.values()]
+      .filter(({ stage }) => stage === Stage.Done)
+      .map(({ name }) => name);
+    const value = encoder.encode({ done, isCompleted: progress.isCompleted });
+    return { key: WAVE_PREFIX + progress.wave.number, value };
+  }
+}
--- a/src/owner/owner_ports.ts
+++ b/src/owner/owner_ports.ts
@@ -141,6 +141,26 @@
   value?: Uint8Array | undefined;
 }
 
+/** An order to maintain a host. */
+export interface MaintainOrder {
+  /** The host. */
+  host: string;
+  /** The wave. */
+  wave: number;
+  /** The fence of the owner. */
+  fence: number;
+}
+
+/** An order to move a host to another pool. */
+export interface MoveOrder {
+  /** The host. */
+  host: string;
+  /** The service whose pool it goes to. */
+  pool: string;
+  /** The fence of the owner. */
+  fence: number;
+}
+
 /** What the owner's decisions do to the world. */
 export interface OwnerPorts {
   /** Sends an order to start. */
@@ -151,6 +171,14 @@
   pace: (order: PaceOrder) => void;
   /** Sends a look. */
   look: (order: LookOrder) => void;
+  /** Asks for the provider's list of hosts. */
+  listHosts: () => void;
+  /** Sends an order to maintain a host. */
+  maintain: (order: MaintainOrder) => void;
+  /** Sends an order to move a host. */
+  move: (order: MoveOrder) => void;
+  /** Tells operators how far a wave is. */
+  writeStatus: (wave: number, isCompleted: boolean) => void;
   /** Stores entries, all or nothing, and tells when they are stored. */
   write: (entries: JournalEntry[], onStored: () => void) => void;
 }
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from "../events/mod.ts";
 import type { Configuration } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import type { Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { OperatorRequests } from "../fleet/maintenance_wave.ts";
 import {
   type Answer,
@@ -23,6 +24,7 @@
 import type {
   LookAnswer,
   LookOrder,
+  MaintainOrder,
   OrderAnswer,
   OwnerPorts,
   PaceOrder,
@@ -57,6 +59,16 @@
   look: (order: LookOrder) => Promise<LookAnswer>;
 }
 
+/** Lists hosts and carries out orders for them. */
+export interface HostProvider {
+  /** Gets all hosts, or undefined if the provider does not serve the list. */
+  list: () => Promise<Host[] | undefined>;
+  /** Has a host maintained. */
+  maintain: (host: string, wave: number, fence: number) => Promise<HostOrderOutcome>;
+  /** Moves a host to another pool. */
+  move: (host: string, pool: string, fence: number) => Promise<HostOrderOutcome>;
+}
+
 /** The messages that an `OwnerTask` takes. */
 export type OwnerMessage =
   | { kind: "call"; call: ForwardedCall; reply: Reply<Answer> }
@@ -68,6 +80,8 @@
   | { kind: "start-answered"; order: StartOrder; answer: OrderAnswer; milliseconds: number }
   | { kind: "stop-answered"; order: StopOrder; answer: OrderAnswer }
   | { kind: "look-answered"; order: LookOrder; sentAt: number; answer: LookAnswer }
+  | { kind: "hosts-listed"; hosts: Host[] | undefined }
+  | { kind: "maintain-answered"; order: MaintainOrder; outcome: HostOrderOutcome }
   | { kind: "settle" }
   | { kind: "tick" }
   /** The process is stopping: nothing more is started, and the reply comes when all is stored. */
@@ -83,6 +97,14 @@
   journalStore: JournalStore;
   /** Sends orders. */
   executors: ExecutorCalls;
+  /** The provider of hosts, where there is one. */
+  provider?: HostProvider | undefined;
+  /** Tells operators how far a wave is. */
+  writeStatus: (wave: number, isCompleted: boolean) => void;
+  /** How long holders of orders for a host must be apart, in milliseconds. */
+  providerLeaseMilliseconds: number;
+  /** How long a host is away for maintenance, in milliseconds. */
+  maintenanceMilliseconds: number;
   /** The bounds and times. */
   limits: OwnerLimits;
   /** Tells that a higher epoch writes. */
@@ -167,6 +189,15 @@
         this.#setMoment();
         this.#owner?.handleLookAnswer(message.order.executor.id, message.sentAt, message.answer);
         break;
+      case "hosts-listed":
+        if (message.hosts === undefined) return;
+        this.#setMoment();
+        this.#owner?.setHosts(message.hosts);
+        break;
+      case "maintain-answered":
+        this.#setMoment();
+        this.#owner?.handleMaintainAnswer(message.order, message.outcome);
+        break;
       case "settle":
         this.#isSettling = false;
         this.#setMoment();
@@ -257,6 +288,9 @@
       timeOfDay: this.#options.getTimeOfDay(),
       configuration: this.#configuration,
       jobs,
+      stored: this.#stored,
+      hostOrderDelayMilliseconds: this.#getHostOrderDelay(),
+      maintenanceMilliseconds: this.#options.maintenanceMilliseconds,
       executors: this.#entries,
       doubtMilliseconds: isHandedOver
         ? LEASE_MILLISECONDS + AUTHORITY_MILLISECONDS
@@ -279,9 +313,25 @@
     this.#settleSoon();
   }
 
+  /** Gets how long orders to hosts wait, so that two holders never take turns within the lease. */
+  #getHostOrderDelay(): number {
+    const { epoch, isHandedOver, providerLeaseMilliseconds } = this.#options;
+    if (epoch === 1) return 0;
+    const margin = TICK_MILLISECONDS;
+    return providerLeaseMilliseconds + margin + (isHandedOver ? 0 : AUTHORITY_MILLISECONDS);
+  }
+
   #createPorts(): OwnerPorts {
-    const { executors, getSteady } = this.#options;
+    const { executors, getSteady, provider, writeStatus } = this.#options;
     return {
+      listHosts: () =>
+        void provider?.list().then((hosts) => this.post({ kind: "hosts-listed", hosts })),
+      maintain: (order) =>
+        void provider?.maintain(order.host, order.wave, order.fence).then((outcome) =>
+          this.post({ kind: "maintain-answered", order, outcome })
+        ),
+      move: () => {},
+      writeStatus,
       start: (order) => {
         const sentAt = getSteady();
         void executors.start(order).then((answer) =>
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -17,6 +17,7 @@
 import { HostMetrics } from "./host_metrics.ts";
 import { type KeyedTopicNews, KeyedTopicTask } from "./keyed_topic_task.ts";
 import type { PlatformSettings } from "./platform_settings.ts";
+import { ProviderClient } from "./provider_client.ts";
 import { ExecutorList, OperatorState } from "./published_state.ts";
 import { StoreClient } from "./store_client.ts";
 import {
@@ -25,6 +26,7 @@
   createJournalStore,
   decodeClaim,
   FLEET_CLAIM_KEY,
+  writeWaveStatus,
 } from "./store_ports.ts";
 
 /** How long a read of operators' records or claims waits, in milliseconds: freshness is proved as often. */
@@ -63,6 +65,7 @@
   readonly #metricsPort: number | undefined;
   readonly #clock = ElapsedClock.create();
   readonly #store: StoreClient;
+  readonly #provider: ProviderClient | undefined;
   readonly #operators: OperatorState;
   readonly #front: FrontTask;
   readonly #callers: CallerListener;
@@ -83,6 +86,11 @@
     this.#log = log;
     this.#metricsPort = options.metricsPort;
     this.#store = StoreClient.create(settings.storeAddress);
+    this.#provider = settings.providerAddress === undefined ? undefined : ProviderClient.create({
+      address: settings.providerAddress,
+      holder: settings.name,
+      log,
+    });
     this.#operators = OperatorState.create(log);
     this.#metrics = HostMetrics.create(() => this.#getGauges());
     this.#front = this.#createFront();
@@ -174,6 +182,7 @@
     this.#readiness.close();
     this.#readiness.closeAllConnections();
     this.#metrics.close();
+    this.#provider?.close();
     this.#store.close();
   }
 
@@ -290,6 +299,11 @@
       isHandedOver,
       journalStore: createJournalStore(this.#store),
       executors: client,
+      provider: this.#provider,
+      writeStatus: (wave, isCompleted) =>
+        void writeWaveStatus(this.#store, wave, isCompleted, this.#log),
+      providerLeaseMilliseconds: bounds.providerLeaseMilliseconds,
+      maintenanceMilliseconds: bounds.maintenanceMilliseconds,
       limits: {
         longestLeaseMilliseconds: bounds.longestLeaseMilliseconds,
         rememberMilliseconds: bounds.rememberMilliseconds,
--- a/src/platform/store_ports.ts
+++ b/src/platform/store_ports.ts
@@ -1,6 +1,7 @@
 /** The project's journal, claims and followed topics on the platform's store. */
 
 import { Decoder, Encoder } from "cbor-x";
+import type { EventLog } from "../events/mod.ts";
 import type {
   AppendClaim,
   Claim,
@@ -65,3 +66,27 @@
     return undefined;
   }
 }
+
+/** The topic of what the system tells operators. */
+const STATUS_TOPIC = "keyed.status";
+/** The pause before a status that was not stored is written again, in milliseconds. */
+const STATUS_RETRY_MILLISECONDS = 250;
+/** How often a status is written before it is given up; the next owner writes it again. */
+const STATUS_ATTEMPTS = 40;
+
+/** Tells operators how far a wave is, again until it is stored. */
+export async function writeWaveStatus(
+  store: StoreClient,
+  wave: number,
+  isCompleted: boolean,
+  log: EventLog,
+): Promise<void> {
+  const state = isCompleted ? "completed" : "running";
+  const record = encodeKeyedRecord(`wave/${wave}`, Buffer.from(JSON.stringify({ wave, state })));
+  for (let attempt = 1; attempt <= STATUS_ATTEMPTS; attempt += 1) {
+    const result = await store.append({ topic: STATUS_TOPIC, part: 0, records: [record] });
+    if (result.outcome === "done") return log("wave-status-written", { wave, state, attempt });
+    await new Promise((resolve) => setTimeout(resolve, STATUS_RETRY_MILLISECONDS));
+  }
+  log("wave-status-not-written", { step: "append", wave, state, attempts: STATUS_ATTEMPTS });
+}
