--- /dev/null
+++ b/src/owner/capacity.ts
@@ -0,0 +1,318 @@
+/** Moves hosts between pools as demand comes and goes. */
+
+import type { Executor } from "../fleet/executor.ts";
+import { TaskState } from "../fleet/job.ts";
+import { type Host, HostOrderOutcome } from "../fleet/host.ts";
+import type { FleetState } from "./fleet_state.ts";
+import type { HostControl } from "./host_control.ts";
+import type { Maintenance } from "./maintenance.ts";
+import type { MoveOrder } from "./owner_ports.ts";
+import { type CapacityTerms, getHostsNeeded, type PoolLoad } from "./pool_need.ts";
+
+/** How long a pool keeps hosts that it needed, in milliseconds: a few times what a move costs. */
+const KEEP_MILLISECONDS = 4_000;
+/** How long a host may take to become empty before it stays, in milliseconds. */
+const EMPTYING_MILLISECONDS = 4_000;
+/** How long an order without an answer may still be carried out, in milliseconds. */
+const LATE_ORDER_MILLISECONDS = 13_000;
+/** How long a new owner leaves the sizes of pools as they are, in milliseconds. */
+const SETTLE_MILLISECONDS = 5_000;
+/** How often sizes are decided, in milliseconds. */
+const DECIDE_MILLISECONDS = 100;
+/** How long a new executor may take to be listed after a move, in milliseconds. */
+const ARRIVAL_MILLISECONDS = 3_000;
+
+/** How much burden a host that waits for maintenance is worth taking out of its pool. */
+const DUE_CREDIT = 15;
+
+const Stage = { Emptying: "emptying", Ordered: "ordered", Moving: "moving" } as const;
+type Stage = typeof Stage[keyof typeof Stage];
+
+interface Transfer {
+  host: string;
+  from: string;
+  to: string;
+  /** The executor that the host had. */
+  executorId: string;
+  stage: Stage;
+  since: number;
+}
+
+interface PoolSize {
+  service: string;
+  hosts: Host[];
+  need: number;
+  incoming: number;
+}
+
+/** Options of a `Capacity`. */
+export interface CapacityOptions {
+  /** The state. */
+  state: FleetState;
+  /** The decisions about hosts. */
+  hosts: HostControl;
+  /** The waves, whose hosts are left alone. */
+  maintenance: Maintenance;
+  /** How a pool's size follows its load. */
+  terms: CapacityTerms;
+  /** Ends an executor whose host has been taken away. */
+  endExecutor: (executor: Executor, reason: string) => void;
+  /** From when on this owner may order, on the steady clock. */
+  mayOrderFrom: number;
+}
+
+/** The decisions about the sizes of pools. */
+export class Capacity {
+  readonly #options: CapacityOptions;
+  readonly #transfers = new Map<string, Transfer>();
+  /** The greatest need of late, by service. */
+  readonly #peaks = new Map<string, { need: number; at: number }>();
+  #decidedAt = -Infinity;
+
+  private constructor(options: CapacityOptions) {
+    this.#options = options;
+  }
+
+  /** Creates the decisions on a state. */
+  static create(options: CapacityOptions): Capacity {
+    return new Capacity(options);
+  }
+
+  /** Gets whether hosts are on their way. */
+  isActive(): boolean {
+    return this.#transfers.size > 0;
+  }
+
+  /** Takes the next steps. */
+  tick(): void {
+    const { state, hosts, mayOrderFrom } = this.#options;
+    if (!state.mayStart || hosts.getListedAt() < state.startedAt || state.now < mayOrderFrom) {
+      return;
+    }
+    if (state.now < state.startedAt + SETTLE_MILLISECONDS) return;
+    for (const transfer of this.#transfers.values()) this.#advance(transfer);
+    if (state.now - this.#decidedAt < DECIDE_MILLISECONDS) return;
+    this.#decidedAt = state.now;
+    this.#decide();
+  }
+
+  /** Acts on the answer to an order. */
+  handleAnswer(order: MoveOrder, outcome: HostOrderOutcome): void {
+    const { state } = this.#options;
+    const transfer = this.#transfers.get(order.host);
+    state.log("move-answered", { host: order.host, pool: order.pool, outcome });
+    if (transfer === undefined || transfer.stage !== Stage.Ordered) return;
+    switch (outcome) {
+      case HostOrderOutcome.Done:
+        this.#endExecutor(transfer);
+        transfer.stage = Stage.Moving;
+        transfer.since = state.now;
+        return;
+      case HostOrderOutcome.Unanswered:
+        // It may be carried out later: the host stays closed until the list tells.
+        return;
+      default:
+        this.#end(transfer);
+    }
+  }
+
+  #advance(transfer: Transfer): void {
+    const { state, hosts } = this.#options;
+    const host = hosts.getHosts().get(transfer.host);
+    if (host === undefined) return this.#end(transfer);
+    const age = state.now - transfer.since;
+    switch (transfer.stage) {
+      case Stage.Emptying:
+        hosts.empty(host);
+        if (hosts.isEmpty(host)) return this.#order(transfer);
+        if (age > EMPTYING_MILLISECONDS) this.#end(transfer);
+        return;
+      case Stage.Ordered:
+        if (host.pool === transfer.to) transfer.stage = Stage.Moving;
+        else if (age > LATE_ORDER_MILLISECONDS) this.#end(transfer);
+        return;
+      case Stage.Moving: {
+        const hasArrived = host.pool === transfer.to && hosts.isUp(host) &&
+          (this.#isSpare(transfer.to) || state.executors.get(host.executorId)?.isFenced === true);
+        if (hasArrived || age > ARRIVAL_MILLISECONDS) this.#end(transfer);
+      }
+    }
+  }
+
+  #order(transfer: Transfer): void {
+    const { state } = this.#options;
+    transfer.stage = Stage.Ordered;
+    transfer.since = state.now;
+    state.log("host-moved", { host: transfer.host, from: transfer.from, to: transfer.to });
+    state.ports.move({ host: transfer.host, pool: transfer.to, fence: state.fence });
+  }
+
+  #endExecutor(transfer: Transfer): void {
+    const { state, endExecutor } = this.#options;
+    const executor = state.executors.get(transfer.executorId);
+    if (executor !== undefined) endExecutor(executor, "its host is moved");
+  }
+
+  #end(transfer: Transfer): void {
+    const { hosts } = this.#options;
+    this.#transfers.delete(transfer.host);
+    const host = hosts.getHosts().get(transfer.host);
+    if (host !== undefined) hosts.reopen(host);
+  }
+
+  #decide(): void {
+    const { state } = this.#options;
+    const sizes = this.#getSizes();
+    const spares = this.#getSpareHosts();
+    const spareService = [...state.configuration.services.values()].find((service) =>
+      service.isSpare
+    );
+    const short = sizes.filter((size) => getMissing(size) > 0);
+    short.sort((first, second) => getMissing(second) - getMissing(first));
+    for (const size of short) {
+      for (let missing = getMissing(size); missing > 0; missing -= 1) {
+        const host = spares.pop() ?? this.#takeSurplus(sizes);
+        if (host === undefined) return;
+        this.#begin(host, size.service);
+      }
+    }
+    if (spareService === undefined) return;
+    for (const size of sizes) {
+      for (let surplus = -getMissing(size); surplus > 0; surplus -= 1) {
+        const host = this.#takeLeastBurdened(size);
+        if (host === undefined) break;
+        this.#begin(host, spareService.name);
+      }
+    }
+  }
+
+  #begin(host: Host, to: string): void {
+    const { state, hosts } = this.#options;
+    const stage = Stage.Emptying;
+    const executorId = hosts.getExecutor(host)?.id ?? "";
+    const transfer = {
+      host: host.name,
+      from: host.pool,
+      to,
+      executorId,
+      stage,
+      since: state.now,
+    };
+    this.#transfers.set(host.name, transfer);
+    this.#advance(transfer);
+  }
+
+  #getSizes(): PoolSize[] {
+    const { state, hosts } = this.#options;
+    const sizes = new Map<string, PoolSize>();
+    for (const service of state.configuration.services.values()) {
+      if (service.isSpare) continue;
+      const { name } = service;
+      sizes.set(name, { service: name, hosts: [], need: this.#getNeed(name), incoming: 0 });
+    }
+    for (const host of hosts.getHosts().values()) {
+      const transfer = this.#transfers.get(host.name);
+      const size = sizes.get(transfer?.to ?? host.pool);
+      if (size === undefined) continue;
+      if (transfer !== undefined) size.incoming += 1;
+      else if (hosts.isUp(host) && this.#isFree(host)) size.hosts.push(host);
+    }
+    return [...sizes.values()];
+  }
+
+  /** Gets the hosts that a service needs: the most of late. */
+  #getNeed(service: string): number {
+    const { state, terms } = this.#options;
+    const need = getHostsNeeded(this.#getLoad(service), terms);
+    const peak = this.#peaks.get(service);
+    const isOver = peak === undefined || need >= peak.need ||
+      state.now - peak.at > KEEP_MILLISECONDS;
+    if (isOver) this.#peaks.set(service, { need, at: state.now });
+    return this.#peaks.get(service)!.need;
+  }
+
+  #getLoad(service: string): PoolLoad {
+    const { state } = this.#options;
+    const load = {
+      usedCpu: 0,
+      waitingCpu: 0,
+      waitingWork: 0,
+      lastingExecutors: 0,
+      hostCpu: 0,
+    };
+    for (const executor of state.getPool(service)) {
+      load.usedCpu += executor.getUsed().cpu;
+      load.hostCpu = Math.max(load.hostCpu, executor.entry.capacity.cpu);
+      for (const { task } of executor.runs.values()) addLasting(load, task.step.specification);
+    }
+    if (load.hostCpu === 0) load.hostCpu = this.#getHostCpu();
+    for (const step of state.ready) {
+      if (state.getService(step.job) !== service) continue;
+      const { demand, isFiller, estimatedMilliseconds } = step.specification;
+      addLasting(load, step.specification);
+      if (isFiller) continue;
+      const waiting = step.tasks.filter(({ state }) => state === TaskState.Waiting).length;
+      load.waitingCpu += waiting * demand.cpu;
+      load.waitingWork += waiting * demand.cpu * estimatedMilliseconds;
+    }
+    return load;
+  }
+
+  #getHostCpu(): number {
+    let cpu = 1;
+    for (const host of this.#options.hosts.getHosts().values()) {
+      cpu = Math.max(cpu, host.capacity.cpu);
+    }
+    return cpu;
+  }
+
+  #getSpareHosts(): Host[] {
+    const { hosts, maintenance } = this.#options;
+    const spares = [...hosts.getHosts().values()].filter((host) =>
+      this.#isSpare(host.pool) && hosts.isUp(host) && this.#isFree(host)
+    );
+    // Hosts are taken from the end: those that wait for maintenance stay, where it costs nothing.
+    spares.sort((first, second) =>
+      Number(maintenance.isDue(second.name)) - Number(maintenance.isDue(first.name))
+    );
+    return spares;
+  }
+
+  #takeSurplus(sizes: PoolSize[]): Host | undefined {
+    const donor = sizes.find((size) => getMissing(size) < 0);
+    return donor === undefined ? undefined : this.#takeLeastBurdened(donor);
+  }
+
+  /** Takes the host of a pool that is emptied the soonest. */
+  #takeLeastBurdened(size: PoolSize): Host | undefined {
+    const { hosts, maintenance } = this.#options;
+    const getRank = (host: Host) =>
+      hosts.getBurden(host) - (maintenance.isDue(host.name) ? DUE_CREDIT : 0);
+    const [host] = [...size.hosts].sort((first, second) => getRank(first) - getRank(second));
+    if (host === undefined) return undefined;
+    size.hosts.splice(size.hosts.indexOf(host), 1);
+    return host;
+  }
+
+  #isFree(host: Host): boolean {
+    return !this.#transfers.has(host.name) && !this.#options.maintenance.isBusy(host.name);
+  }
+
+  #isSpare(service: string): boolean {
+    return this.#options.state.configuration.services.get(service)?.isSpare === true;
+  }
+}
+
+/** Gets how many hosts a pool lacks; below 0 if it has more than it needs. */
+function getMissing(size: PoolSize): number {
+  return size.need - size.hosts.length - size.incoming;
+}
+
+function addLasting(
+  load: { lastingExecutors: number },
+  step: { isLasting: boolean; count: number; mostPerExecutor: number },
+): void {
+  if (!step.isLasting) return;
+  const executors = step.mostPerExecutor === 0 ? 1 : Math.ceil(step.count / step.mostPerExecutor);
+  load.lastingExecutors = Math.max(load.lastingExecutors, executors);
+}
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -7,17 +7,19 @@
 import { TaskState } from "../fleet/job.ts";
 import type { Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { OperatorRequests } from "../fleet/maintenance_wave.ts";
+import { Capacity } from "./capacity.ts";
 import { Dispatch, NO_TICKET } from "./dispatch.ts";
 import { FleetState, type FleetStateOptions } from "./fleet_state.ts";
 import { JobDesk, type Submission } from "./job_desk.ts";
 import { HostControl } from "./host_control.ts";
 import { createArrivalOrder } from "./job_order.ts";
 import { createProgressEntry } from "./job_records.ts";
-import { LookControl } from "./look_control.ts";
+import { getLife, LookControl } from "./look_control.ts";
 import { Maintenance } from "./maintenance.ts";
 import { rankLeastLoaded } from "./placement.ts";
+import type { CapacityTerms } from "./pool_need.ts";
 import { RunControl } from "./run_control.ts";
-import type { LookAnswer, MaintainOrder, OrderAnswer } from "./owner_ports.ts";
+import type { LookAnswer, MaintainOrder, MoveOrder, OrderAnswer } from "./owner_ports.ts";
 
 /** What holds at the moment of a decision. */
 export interface OwnerMoment {
@@ -45,6 +47,8 @@
   executors: readonly ExecutorEntry[];
   /** What earlier owners stored, by key. */
   stored: readonly (readonly [string, Uint8Array])[];
+  /** How the sizes of pools follow their load. */
+  capacityTerms: CapacityTerms;
   /** How long this owner waits before its first order to a host, in milliseconds. */
   hostOrderDelayMilliseconds: number;
   /** How long a host is away for maintenance, in milliseconds. */
@@ -72,6 +76,7 @@
   readonly #dispatch: Dispatch;
   readonly #hosts: HostControl;
   readonly #maintenance: Maintenance;
+  readonly #capacity: Capacity;
   readonly #doubtUntil: number;
   /** The executors that the earlier owner used and that have not answered this one. */
   readonly #unsettled = new Set<string>();
@@ -99,10 +104,19 @@
     this.#maintenance = Maintenance.create({
       state: this.#state,
       hosts: this.#hosts,
+      endExecutor: (executor, reason) => this.#looks.endExecutor(executor, reason),
       mayOrderFrom: options.startedAt + options.hostOrderDelayMilliseconds,
       awayMilliseconds: options.maintenanceMilliseconds,
       stored: options.stored,
     });
+    this.#capacity = Capacity.create({
+      state: this.#state,
+      hosts: this.#hosts,
+      maintenance: this.#maintenance,
+      endExecutor: (executor, reason) => this.#looks.endExecutor(executor, reason),
+      terms: options.capacityTerms,
+      mayOrderFrom: options.startedAt + options.hostOrderDelayMilliseconds,
+    });
     this.#doubtUntil = options.startedAt + options.doubtMilliseconds;
     for (const job of options.jobs) this.#desk.restore(job);
     for (const entry of options.executors) this.#unsettled.add(entry.id);
@@ -145,6 +159,9 @@
       listed.add(entry.id);
       this.#setExecutor(entry);
     }
+    for (const life of state.departed) {
+      if (!listed.has(life.slice(0, life.lastIndexOf("/")))) state.departed.delete(life);
+    }
     for (const executor of state.executors.values()) {
       executor.isListed = listed.has(executor.id);
       const isIdle = !executor.isListed && executor.runs.size === 0;
@@ -204,6 +221,11 @@
     this.#maintenance.handleAnswer(order, outcome);
   }
 
+  /** Acts on the answer to an order to move a host. */
+  handleMoveAnswer(order: MoveOrder, outcome: HostOrderOutcome): void {
+    this.#capacity.handleAnswer(order, outcome);
+  }
+
   /** Does what time demands. */
   tick(): void {
     const state = this.#state;
@@ -216,6 +238,7 @@
     this.#decayFailures();
     this.#askForHosts();
     this.#maintenance.tick();
+    this.#capacity.tick();
     state.needsDispatch = true;
   }
 
@@ -250,6 +273,7 @@
 
   #setExecutor(entry: ExecutorEntry): void {
     const state = this.#state;
+    if (state.departed.has(getLife(entry))) return;
     const known = state.executors.get(entry.id);
     if (known !== undefined && known.entry.born !== entry.born && entry.born !== 0) {
       if (known.entry.born > entry.born) return;
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -9,12 +9,12 @@
 
 /** The bounds and times that the owner's decisions keep. */
 export interface OwnerLimits {
-  /** The longest lease that an owner grants, in milliseconds. */
-  longestLeaseMilliseconds: number;
   /** How long an ended job is remembered, in milliseconds. */
   rememberMilliseconds: number;
   /** How long a stop may take on an executor, in milliseconds. */
   stopMilliseconds: number;
+  /** The longest lease that an earlier owner may have granted, in milliseconds; 0 if there was none. */
+  earlierLeaseMilliseconds: number;
   /** How many times as long a task takes off its rack. */
   farFactor: number;
 }
@@ -70,6 +70,8 @@
   evacuatedZones: ReadonlySet<string> = new Set();
   /** The executors by id. */
   readonly executors = new Map<string, Executor>();
+  /** The lives of executors that are known to be over, though they may still be listed. */
+  readonly departed = new Set<string>();
   /** The jobs by id. */
   readonly jobs = new Map<string, Job>();
   /** The steps with tasks that may start. */
--- a/src/owner/lasting_budget.ts
+++ b/src/owner/lasting_budget.ts
@@ -16,7 +16,6 @@
 export function mayBeStopped(task: JobTask): boolean {
   const { step } = task;
   if (!step.specification.isLasting || step.specification.mostAway === 0) return true;
-  if (!isAtWork(task)) return true;
   const away = step.tasks.filter((other) => other !== task && !isAtWork(other)).length;
   return away < step.specification.mostAway;
 }
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -1,6 +1,7 @@
 /** Looks at executors: extends leases, and brings what is believed in line with what they report. */
 
 import type { AssignedRun, Executor } from "../fleet/executor.ts";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import { TaskState } from "../fleet/job.ts";
 import { type Run, RunStage } from "../fleet/run.ts";
 import type { FleetState } from "./fleet_state.ts";
@@ -65,6 +66,7 @@
       this.#runs.handleLost(executor, assigned, reason);
     }
     this.#state.executors.delete(executor.id);
+    this.#state.departed.add(getLife(executor.entry));
     this.#state.log("executor-gone", { executor: executor.id, reason });
   }
 
@@ -112,7 +114,7 @@
     executor.readClock({ executorTime: report.executorTime, receivedAt: state.now });
     if (!executor.isFenced) {
       executor.isFenced = true;
-      executor.assumeLease(state.limits.longestLeaseMilliseconds);
+      executor.assumeLease(state.limits.earlierLeaseMilliseconds);
       state.needsDispatch = true;
     }
     for (const row of report.ended) {
@@ -218,6 +220,11 @@
   }
 }
 
+/** Gets the name of one life of an executor. */
+export function getLife(entry: ExecutorEntry): string {
+  return `${entry.id}/${entry.born}`;
+}
+
 /** Gets whether a run's state is to be settled by the next report. */
 function isUnsettled(run: Run): boolean {
   return run.stage === RunStage.InDoubt;
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -1,5 +1,6 @@
 /** Waves of maintenance: empties hosts a few at a time, and has their provider maintain them. */
 
+import type { Executor } from "../fleet/executor.ts";
 import { Decoder, Encoder } from "cbor-x";
 import { HostOrderOutcome } from "../fleet/host.ts";
 import type { MaintenanceWave } from "../fleet/maintenance_wave.ts";
@@ -59,6 +60,8 @@
   state: FleetState;
   /** The decisions about hosts. */
   hosts: HostControl;
+  /** Ends an executor whose host has been taken away. */
+  endExecutor: (executor: Executor, reason: string) => void;
   /** From when on this owner may order, on the steady clock. */
   mayOrderFrom: number;
   /** How long a host is away, in milliseconds. */
@@ -137,6 +140,7 @@
     state.log("maintenance-answered", { host: order.host, wave: order.wave, outcome });
     switch (outcome) {
       case HostOrderOutcome.Done:
+        this.#endExecutor(place);
         return this.#setStage(place, Stage.Away);
       case HostOrderOutcome.Impossible: {
         this.#setStage(place, Stage.Done);
@@ -276,6 +280,12 @@
     });
   }
 
+  #endExecutor(place: Place): void {
+    const { state, endExecutor } = this.#options;
+    const executor = state.executors.get(place.executorId);
+    if (executor !== undefined) endExecutor(executor, "its host is maintained");
+  }
+
   #setStage(place: Place, stage: Stage): void {
     place.stage = stage;
     place.since = this.#options.state.now;
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -20,11 +20,13 @@
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
 import { FleetOwner } from "./fleet_owner.ts";
 import type { OwnerLimits } from "./fleet_state.ts";
+import type { CapacityTerms } from "./pool_need.ts";
 import { readStoredJobs } from "./job_records.ts";
 import type {
   LookAnswer,
   LookOrder,
   MaintainOrder,
+  MoveOrder,
   OrderAnswer,
   OwnerPorts,
   PaceOrder,
@@ -47,6 +49,14 @@
 /** When callers come back while the store is away, in seconds. */
 const STORE_RETRY_SECONDS = 2;
 
+/** How the sizes of pools follow their load. */
+const CAPACITY_TERMS: CapacityTerms = {
+  backlogMilliseconds: 1_000,
+  usablePart: 0.9,
+  spareHosts: 1,
+  fewestHosts: 2,
+};
+
 /** Sends orders to executors. */
 export interface ExecutorCalls {
   /** Starts a run. */
@@ -82,6 +92,7 @@
   | { kind: "look-answered"; order: LookOrder; sentAt: number; answer: LookAnswer }
   | { kind: "hosts-listed"; hosts: Host[] | undefined }
   | { kind: "maintain-answered"; order: MaintainOrder; outcome: HostOrderOutcome }
+  | { kind: "move-answered"; order: MoveOrder; outcome: HostOrderOutcome }
   | { kind: "settle" }
   | { kind: "tick" }
   /** The process is stopping: nothing more is started, and the reply comes when all is stored. */
@@ -106,7 +117,7 @@
   /** How long a host is away for maintenance, in milliseconds. */
   maintenanceMilliseconds: number;
   /** The bounds and times. */
-  limits: OwnerLimits;
+  limits: Omit<OwnerLimits, "earlierLeaseMilliseconds">;
   /** Tells that a higher epoch writes. */
   onFenced: () => void;
   /** Gets a measured time, in milliseconds. */
@@ -198,6 +209,10 @@
         this.#setMoment();
         this.#owner?.handleMaintainAnswer(message.order, message.outcome);
         break;
+      case "move-answered":
+        this.#setMoment();
+        this.#owner?.handleMoveAnswer(message.order, message.outcome);
+        break;
       case "settle":
         this.#isSettling = false;
         this.#setMoment();
@@ -281,7 +296,7 @@
     const startedAt = getSteady();
     this.#owner = FleetOwner.create({
       fence: epoch,
-      limits,
+      limits: { ...limits, earlierLeaseMilliseconds: this.#getEarlierLease() },
       ports: this.#createPorts(),
       log,
       startedAt,
@@ -290,11 +305,10 @@
       jobs,
       stored: this.#stored,
       hostOrderDelayMilliseconds: this.#getHostOrderDelay(),
+      capacityTerms: CAPACITY_TERMS,
       maintenanceMilliseconds: this.#options.maintenanceMilliseconds,
       executors: this.#entries,
-      doubtMilliseconds: isHandedOver
-        ? LEASE_MILLISECONDS + AUTHORITY_MILLISECONDS
-        : OUTAGE_LEASE_MILLISECONDS + AUTHORITY_MILLISECONDS,
+      doubtMilliseconds: this.#getEarlierLease() + (isHandedOver ? 0 : AUTHORITY_MILLISECONDS),
     });
     this.#owner.setRequests(this.#requests);
     this.#stored = [];
@@ -313,6 +327,13 @@
     this.#settleSoon();
   }
 
+  /** Gets the longest lease that an earlier owner may have granted. */
+  #getEarlierLease(): number {
+    const { epoch, isHandedOver } = this.#options;
+    if (epoch === 1) return 0;
+    return isHandedOver ? LEASE_MILLISECONDS : OUTAGE_LEASE_MILLISECONDS;
+  }
+
   /** Gets how long orders to hosts wait, so that two holders never take turns within the lease. */
   #getHostOrderDelay(): number {
     const { epoch, isHandedOver, providerLeaseMilliseconds } = this.#options;
@@ -330,7 +351,10 @@
         void provider?.maintain(order.host, order.wave, order.fence).then((outcome) =>
           this.post({ kind: "maintain-answered", order, outcome })
         ),
-      move: () => {},
+      move: (order) =>
+        void provider?.move(order.host, order.pool, order.fence).then((outcome) =>
+          this.post({ kind: "move-answered", order, outcome })
+        ),
       writeStatus,
       start: (order) => {
         const sentAt = getSteady();
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -305,7 +305,6 @@
       providerLeaseMilliseconds: bounds.providerLeaseMilliseconds,
       maintenanceMilliseconds: bounds.maintenanceMilliseconds,
       limits: {
-        longestLeaseMilliseconds: bounds.longestLeaseMilliseconds,
         rememberMilliseconds: bounds.rememberMilliseconds,
         stopMilliseconds: bounds.stopMilliseconds,
         farFactor: bounds.farFactor,
