--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -32,6 +32,10 @@
   isListed = true;
   /** Whether it has answered under the owner's fence. */
   isFenced = false;
+  /** Whether the journal names it, so that a later owner looks here. */
+  isRecorded = false;
+  /** The runs that it reported and that no task accounts for; their room is not known. */
+  strayCount = 0;
   /** Whether it is being emptied for a planned action. */
   isClosed = false;
   /** Whether a look is on its way. */
@@ -89,7 +93,8 @@
 
   /** Gets whether tasks may be started here. */
   isOpen(now: number): boolean {
-    return this.isFenced && this.isListed && !this.isClosed && !this.entry.isDraining &&
+    return this.isFenced && this.isListed && this.isRecorded && this.strayCount === 0 &&
+      !this.isClosed && !this.entry.isDraining &&
       this.failingSince === undefined && this.avoidedUntil <= now;
   }
 
--- a/src/front/call_frame.ts
+++ b/src/front/call_frame.ts
@@ -17,8 +17,8 @@
 /** What goes to the owner: a call, or a question whether it is there. */
 export type OwnerRequest = { number: number; call: ForwardedCall } | { number: 0 };
 
-/** What comes back. */
-export type OwnerResponse = { number: number; answer: Answer } | { number: 0 };
+/** What comes back: answers, and which process it is that answers. */
+export type OwnerResponse = { number: number; answer: Answer } | { number: 0; process: string };
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
@@ -40,7 +40,7 @@
 export function decodeOwnerResponse(body: Buffer): OwnerResponse | undefined {
   const value = decode(body) as OwnerResponse | undefined;
   if (typeof value?.number !== "number") return undefined;
-  if (value.number === 0) return { number: 0 };
+  if (value.number === 0) return "process" in value ? value : undefined;
   return "answer" in value && typeof value.answer?.outcome === "string" ? value : undefined;
 }
 
--- a/src/front/front_task.ts
+++ b/src/front/front_task.ts
@@ -195,7 +195,8 @@
       address,
       onAnswer: (number, answer) => this.post({ kind: "answered", number, answer, epoch }),
       onConnected: () => this.post({ kind: "link-opened", epoch }),
-      onRefused: () => this.#options.onHolderEnded(holder),
+      process: holder,
+      onEnded: () => this.#options.onHolderEnded(holder),
       log: this.#options.log,
     });
   }
--- a/src/front/owner_link_task.ts
+++ b/src/front/owner_link_task.ts
@@ -33,8 +33,10 @@
   onAnswer: (number: number, answer: Answer) => void;
   /** Tells that a connection is there; calls sent before may have been lost. */
   onConnected: () => void;
-  /** Tells that the owner's address refuses connections: its process has ended. */
-  onRefused: () => void;
+  /** The owner's process. */
+  process: string;
+  /** Tells that the owner's process has ended: its address refuses connections, or another answers. */
+  onEnded: () => void;
   /** Logs the loss and return of the link. */
   log: EventLog;
 }
@@ -115,6 +117,7 @@
     this.#isConnected = true;
     this.#heardAt = performance.now();
     this.#options.log("owner-link-open", { peer: this.#peer });
+    this.#send(encodeOwnerMessage({ number: 0 }));
     this.#options.onConnected();
   }
 
@@ -128,6 +131,9 @@
           this.#options.log("owner-answer-unreadable", { step: "decode", peer: this.#peer });
         } else if ("answer" in response) {
           this.#options.onAnswer(response.number, response.answer);
+        } else if (response.process !== this.#options.process) {
+          this.#options.log("owner-process-ended", { peer: this.#peer, process: response.process });
+          this.#options.onEnded();
         }
       }
     } catch (error) {
@@ -143,7 +149,7 @@
     this.#socket = undefined;
     this.#isConnected = false;
     this.#connectAt = performance.now() + RECONNECT_MILLISECONDS;
-    if (code === "ECONNREFUSED") this.#options.onRefused();
+    if (code === "ECONNREFUSED") this.#options.onEnded();
   }
 
   #tick(): void {
--- a/src/front/owner_listener_task.ts
+++ b/src/front/owner_listener_task.ts
@@ -20,6 +20,8 @@
 export interface OwnerListenerTaskOptions {
   /** The address to listen on. */
   address: SocketAddress;
+  /** The identity of this process, which links are told. */
+  process: string;
   /** Passes a call to the owner here. */
   deliver: (call: ForwardedCall, reply: Reply<Answer>) => void;
   /** Logs links that break the protocol. */
@@ -106,7 +108,10 @@
       return;
     }
     const { number } = request;
-    if (!("call" in request)) return void socket.write(encodeOwnerMessage({ number: 0 }));
+    if (!("call" in request)) {
+      socket.write(encodeOwnerMessage({ number: 0, process: this.#options.process }));
+      return;
+    }
     this.#options.deliver(request.call, (answer) => {
       if (socket.writable) socket.write(encodeOwnerMessage({ number, answer }));
     });
--- /dev/null
+++ b/src/owner/executor_records.ts
@@ -0,0 +1,31 @@
+/** The journal's records of executors: where an owner may have started something. */
+
+import { Decoder, Encoder } from "cbor-x";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import type { JournalEntry } from "./owner_ports.ts";
+
+const EXECUTOR_PREFIX = "executor/";
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+/** Gets the entry that names an executor before anything is started there. */
+export function createExecutorEntry(entry: ExecutorEntry): JournalEntry {
+  return { key: EXECUTOR_PREFIX + entry.id, value: encoder.encode(entry) };
+}
+
+/** Gets the entry that forgets an executor on which nothing runs any more. */
+export function createExecutorGoneEntry(id: string): JournalEntry {
+  return { key: EXECUTOR_PREFIX + id };
+}
+
+/** Reads the executors from the newest value of each key. */
+export function readStoredExecutors(
+  entries: Iterable<readonly [string, Uint8Array]>,
+): ExecutorEntry[] {
+  const executors: ExecutorEntry[] = [];
+  for (const [key, value] of entries) {
+    if (key.startsWith(EXECUTOR_PREFIX)) executors.push(decoder.decode(value) as ExecutorEntry);
+  }
+  return executors;
+}
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -11,6 +11,7 @@
 import { Dispatch, NO_TICKET } from "./dispatch.ts";
 import { FleetState, type FleetStateOptions } from "./fleet_state.ts";
 import { JobDesk, type Submission } from "./job_desk.ts";
+import { createExecutorEntry, readStoredExecutors } from "./executor_records.ts";
 import { HostControl } from "./host_control.ts";
 import { createArrivalOrder } from "./job_order.ts";
 import { createProgressEntry } from "./job_records.ts";
@@ -119,7 +120,15 @@
     });
     this.#doubtUntil = options.startedAt + options.doubtMilliseconds;
     for (const job of options.jobs) this.#desk.restore(job);
-    for (const entry of options.executors) this.#unsettled.add(entry.id);
+    const recorded = readStoredExecutors(options.stored);
+    for (const entry of [...recorded, ...options.executors]) {
+      this.#unsettled.add(entry.id);
+      this.#setExecutor(entry);
+    }
+    for (const { id } of recorded) {
+      const executor = this.#state.executors.get(id);
+      if (executor !== undefined) executor.isRecorded = true;
+    }
     this.setExecutors(options.executors);
   }
 
@@ -164,7 +173,8 @@
     }
     for (const executor of state.executors.values()) {
       executor.isListed = listed.has(executor.id);
-      const isIdle = !executor.isListed && executor.runs.size === 0;
+      const isIdle = !executor.isListed && executor.runs.size === 0 &&
+        !this.#unsettled.has(executor.id);
       if (isIdle) this.#looks.endExecutor(executor, "it is listed no more");
     }
     state.needsDispatch = true;
@@ -263,6 +273,15 @@
     };
   }
 
+  /** Stores where this owner may start something, so that a later one looks there. */
+  #record(executor: Executor): void {
+    const state = this.#state;
+    state.ports.write([createExecutorEntry(executor.entry)], () => {
+      executor.isRecorded = true;
+      state.needsDispatch = true;
+    });
+  }
+
   #askForHosts(): void {
     const state = this.#state;
     const interval = this.#maintenance.isActive() ? BUSY_LIST_MILLISECONDS : IDLE_LIST_MILLISECONDS;
@@ -284,7 +303,9 @@
       executor.entry = entry;
       return;
     }
-    state.executors.set(entry.id, Executor.create(entry));
+    const listed = Executor.create(entry);
+    state.executors.set(entry.id, listed);
+    this.#record(listed);
     state.log("executor-listed", {
       executor: entry.id,
       service: entry.service,
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -6,6 +6,7 @@
 import { type Run, RunStage } from "../fleet/run.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { type LookAnswer, type LookReport, OrderOutcome, type RunningRow } from "./owner_ports.ts";
+import { createExecutorGoneEntry } from "./executor_records.ts";
 import { findTask, type RunControl } from "./run_control.ts";
 
 /** How long a report may wait for an end, in milliseconds: a third of the lease. */
@@ -66,6 +67,7 @@
       this.#runs.handleLost(executor, assigned, reason);
     }
     this.#state.executors.delete(executor.id);
+    this.#state.ports.write([createExecutorGoneEntry(executor.id)], () => {});
     this.#state.departed.add(getLife(executor.entry));
     this.#state.log("executor-gone", { executor: executor.id, reason });
   }
@@ -76,7 +78,8 @@
       ? LOOK_PAUSE_MILLISECONDS
       : FAILED_LOOK_PAUSE_MILLISECONDS;
     if (this.#state.now - executor.lookedAt < pause) return false;
-    return !executor.isFenced || executor.failingSince !== undefined || executor.runs.size > 0 ||
+    return !executor.isFenced || executor.strayCount > 0 || executor.failingSince !== undefined ||
+      executor.runs.size > 0 ||
       executor.storedEnd > executor.acknowledgedEnd;
   }
 
@@ -123,10 +126,13 @@
       this.#runs.handleEnd(executor, row);
     }
     const listed = new Set<string>();
+    const strays = executor.strayCount;
+    executor.strayCount = 0;
     for (const row of report.running) {
       listed.add(row.task);
       this.#handleRow(executor, row);
     }
+    if (executor.strayCount < strays) state.needsDispatch = true;
     for (const assigned of [...executor.runs.values()]) {
       if (!listed.has(assigned.task.name)) this.#handleUnlisted(executor, assigned, sentAt);
     }
@@ -158,6 +164,7 @@
     const isWanted = task !== undefined && task.run === undefined &&
       task.state === TaskState.Unknown && task.step.job.outcome === undefined;
     if (!isWanted) {
+      executor.strayCount += 1;
       state.log("stray-run-stopped", { task: row.task, run: row.run, executor: executor.id });
       state.ports.stop({
         executor: executor.entry,
--- a/src/ownership/ownership_task.ts
+++ b/src/ownership/ownership_task.ts
@@ -75,6 +75,7 @@
   readonly #timer: NodeJS.Timeout;
   #claim: Claim | undefined;
   #end: number | undefined;
+  /** When the claim was last renewed, on the steady clock; minus infinity once its holder has ended. */
   #seenAt: number;
   #freshAt = -Infinity;
   #confirmedAt = -Infinity;
@@ -149,6 +150,9 @@
         end: this.#end,
       });
     }
+    const isFromEarlierLife = claim?.hostName === this.#options.hostName &&
+      claim.holder !== this.#options.holder;
+    if (isFromEarlierLife) this.#seenAt = -Infinity;
     if (isOther) this.#confirmedAt = -Infinity;
     this.#claim = claim;
     if (this.#isMine()) this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
@@ -173,6 +177,8 @@
     const isHeld = this.#claim !== undefined && !this.#claim.isReleased;
     const silence = isHeld ? TAKE_OVER_MILLISECONDS : 0;
     const epoch = (this.#claim?.epoch ?? 0) + 1;
+    // A holder that is known to have ended has nothing to be waited for.
+    if (this.#seenAt === -Infinity) return true;
     return getSteady() - this.#seenAt >= silence + getDelay(epoch);
   }
 
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -104,12 +104,14 @@
       },
       log,
     });
+    const process = `${settings.name}-${randomBytes(4).toString("hex")}`;
     this.#links = OwnerListenerTask.create({
       address: settings.peerAddress,
+      process,
       deliver: (call, reply) => this.#deliver({ kind: "call", call, reply }),
       log,
     });
-    this.#ownership = this.#createOwnership();
+    this.#ownership = this.#createOwnership(process);
     this.#readiness = createServer((_request, response) => {
       response.statusCode = this.isReady() ? 200 : 503;
       response.end();
@@ -212,8 +214,7 @@
     });
   }
 
-  #createOwnership(): OwnershipTask {
-    const holder = `${this.#settings.name}-${randomBytes(4).toString("hex")}`;
+  #createOwnership(holder: string): OwnershipTask {
     return OwnershipTask.create({
       holder,
       hostName: this.#settings.name,
