--- a/src/fleet/job.ts
+++ b/src/fleet/job.ts
@@ -115,6 +115,8 @@
   endedAt = 0;
   /** Whether a task has started. */
   hasStarted = false;
+  /** Whether its customer handed it in beyond its share. */
+  isBeyondShare = false;
 
   private constructor(options: JobOptions) {
     this.id = options.id;
--- a/src/owner/capacity.ts
+++ b/src/owner/capacity.ts
@@ -1,6 +1,6 @@
 /** Moves hosts between pools as demand comes and goes. */
 
-import type { Executor } from "../fleet/executor.ts";
+import { type Executor, getCountedDemand } from "../fleet/executor.ts";
 import { TaskState } from "../fleet/job.ts";
 import { type Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { FleetState } from "./fleet_state.ts";
@@ -156,8 +156,7 @@
   #end(transfer: Transfer): void {
     const { hosts } = this.#options;
     this.#transfers.delete(transfer.host);
-    const host = hosts.getHosts().get(transfer.host);
-    if (host !== undefined) hosts.reopen(host);
+    hosts.release(transfer.host);
   }
 
   #decide(): void {
@@ -188,6 +187,7 @@
 
   #begin(host: Host, to: string): void {
     const { state, hosts } = this.#options;
+    if (!hosts.reserve(host, "move")) return;
     const stage = Stage.Emptying;
     const executorId = hosts.getExecutor(host)?.id ?? "";
     const transfer = {
@@ -237,23 +237,29 @@
       usedCpu: 0,
       waitingCpu: 0,
       waitingWork: 0,
+      forecastCpu: state.arrivals.getForecastCpu(service, state.now),
       lastingExecutors: 0,
+      lastingCpu: 0,
       hostCpu: 0,
     };
     for (const executor of state.getPool(service)) {
       load.usedCpu += executor.getUsed().cpu;
       load.hostCpu = Math.max(load.hostCpu, executor.entry.capacity.cpu);
-      for (const { task } of executor.runs.values()) addLasting(load, task.step.specification);
+      for (const { task } of executor.runs.values()) {
+        const { specification } = task.step;
+        addLasting(load, specification);
+        if (specification.isLasting) load.lastingCpu += getCountedDemand(task).cpu;
+      }
     }
     if (load.hostCpu === 0) load.hostCpu = this.#getHostCpu();
     for (const step of state.ready) {
       if (state.getService(step.job) !== service) continue;
-      const { demand, isFiller, estimatedMilliseconds } = step.specification;
+      const { demand, isFiller } = step.specification;
       addLasting(load, step.specification);
       if (isFiller) continue;
       const waiting = step.tasks.filter(({ state }) => state === TaskState.Waiting).length;
       load.waitingCpu += waiting * demand.cpu;
-      load.waitingWork += waiting * demand.cpu * estimatedMilliseconds;
+      load.waitingWork += waiting * demand.cpu * state.durations.getDuration(step);
     }
     return load;
   }
@@ -295,7 +301,7 @@
   }
 
   #isFree(host: Host): boolean {
-    return !this.#transfers.has(host.name) && !this.#options.maintenance.isBusy(host.name);
+    return !this.#options.hosts.isReserved(host);
   }
 
   #isSpare(service: string): boolean {
--- a/src/owner/dispatch.ts
+++ b/src/owner/dispatch.ts
@@ -4,7 +4,7 @@
 import { type JobStep, type JobTask, TaskState } from "../fleet/job.ts";
 import { addResources, isWithin, NO_RESOURCES, type Resources } from "../fleet/resources.ts";
 import type { FleetState } from "./fleet_state.ts";
-import type { CompareSteps } from "./job_order.ts";
+import { compareRanks, type RankStep } from "./job_order.ts";
 import { chooseExecutor, type PlacementRules, type RankExecutor } from "./placement.ts";
 import type { RunControl } from "./run_control.ts";
 
@@ -15,7 +15,7 @@
   /** The decisions about runs. */
   runs: RunControl;
   /** In which order steps start. */
-  compareSteps: CompareSteps;
+  rankStep: RankStep;
   /** Which executor a task prefers. */
   rankExecutor: RankExecutor;
   /** Gets the ticket for a step on an executor, `none` where none is needed, or undefined to wait. */
@@ -40,15 +40,16 @@
 
   /** Starts everything that may start now. */
   run(): void {
-    const { state, compareSteps } = this.#options;
+    const { state, rankStep } = this.#options;
     if (!state.needsDispatch || !state.mayStart) return;
     state.needsDispatch = false;
     const rules = { evacuatedZones: state.evacuatedZones, now: state.now };
     for (const [service, steps] of this.#groupByService()) {
       const pool = [...state.getPool(service)].filter((executor) => executor.isOpen(state.now));
       if (pool.length === 0) continue;
-      steps.sort(compareSteps);
-      for (const step of steps) this.#startStep(step, pool, rules);
+      const ranked = steps.map((step) => ({ step, rank: rankStep(step) }));
+      ranked.sort((first, second) => compareRanks(first.rank, second.rank));
+      for (const { step } of ranked) this.#startStep(step, pool, rules);
     }
   }
 
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -13,7 +13,7 @@
 import { JobDesk, type Submission } from "./job_desk.ts";
 import { createExecutorEntry, readStoredExecutors } from "./executor_records.ts";
 import { HostControl } from "./host_control.ts";
-import { createArrivalOrder } from "./job_order.ts";
+import { createUrgencyOrder } from "./job_order.ts";
 import { createProgressEntry } from "./job_records.ts";
 import { getLife, LookControl } from "./look_control.ts";
 import { Maintenance } from "./maintenance.ts";
@@ -97,7 +97,7 @@
     this.#dispatch = Dispatch.create({
       state: this.#state,
       runs: this.#runs,
-      compareSteps: createArrivalOrder(this.#state),
+      rankStep: createUrgencyOrder(this.#state, this.#state.durations),
       rankExecutor: rankLeastLoaded,
       getTicket: () => NO_TICKET,
     });
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -5,6 +5,8 @@
 import { type AssignedRun, Executor } from "../fleet/executor.ts";
 import { type Job, type JobStep, type JobTask, TaskState } from "../fleet/job.ts";
 import { addResources, type Resources } from "../fleet/resources.ts";
+import { ArrivalMeter } from "./arrival_meter.ts";
+import { DurationBook } from "./duration_book.ts";
 import type { OwnerPorts } from "./owner_ports.ts";
 
 /** The bounds and times that the owner's decisions keep. */
@@ -80,6 +82,10 @@
   readonly changedJobs = new Set<Job>();
   /** What each customer has running. */
   readonly usage = new Map<string, Resources>();
+  /** How long tasks take. */
+  readonly durations = DurationBook.create();
+  /** The work that arrives. */
+  readonly arrivals = ArrivalMeter.create();
   /** Whether something has changed that lets tasks start. */
   needsDispatch = true;
   #lastRun = 0;
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -12,6 +12,8 @@
   readonly #runs: RunControl;
   #hosts = new Map<string, Host>();
   #listedAt = -Infinity;
+  /** The hosts that a planned action has for itself, with what it is. */
+  readonly #reserved = new Map<string, string>();
 
   private constructor(state: FleetState, runs: RunControl) {
     this.#state = state;
@@ -49,6 +51,28 @@
     return undefined;
   }
 
+  /** Reserves a host for a planned action, unless another one has it. */
+  reserve(host: Host, purpose: string): boolean {
+    if (this.#reserved.has(host.name)) return false;
+    this.#reserved.set(host.name, purpose);
+    return true;
+  }
+
+  /** Gets whether a planned action has a host. */
+  isReserved(host: Host): boolean {
+    return this.#reserved.has(host.name);
+  }
+
+  /** Ends a planned action: tasks may start on the host again. */
+  release(name: string): void {
+    this.#reserved.delete(name);
+    const host = this.#hosts.get(name);
+    const executor = host && this.getExecutor(host);
+    if (executor === undefined || !executor.isClosed) return;
+    executor.isClosed = false;
+    this.#state.needsDispatch = true;
+  }
+
   /** Lets nothing more start on a host, and stops the lasting tasks there as their budgets allow. */
   empty(host: Host): void {
     const executor = this.getExecutor(host);
@@ -56,7 +80,9 @@
     executor.isClosed = true;
     for (const assigned of executor.runs.values()) {
       if (!assigned.task.step.specification.isLasting) continue;
-      if (mayBeStopped(assigned.task)) this.#runs.stop(executor, assigned, "the host is emptied");
+      if (mayBeStopped(this.#state, assigned.task)) {
+        this.#runs.stop(executor, assigned, "the host is emptied");
+      }
     }
   }
 
@@ -65,18 +91,12 @@
     const executor = this.getExecutor(host);
     if (executor === undefined) return;
     for (const assigned of executor.runs.values()) {
-      if (mayBeStopped(assigned.task)) this.#runs.stop(executor, assigned, "the host is cleared");
+      if (mayBeStopped(this.#state, assigned.task)) {
+        this.#runs.stop(executor, assigned, "the host is cleared");
+      }
     }
   }
 
-  /** Lets tasks start on a host again. */
-  reopen(host: Host): void {
-    const executor = this.getExecutor(host);
-    if (executor === undefined || !executor.isClosed) return;
-    executor.isClosed = false;
-    this.#state.needsDispatch = true;
-  }
-
   /** Gets whether nothing runs on a host and nothing can start there. */
   isEmpty(host: Host): boolean {
     const executor = this.getExecutor(host);
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -4,6 +4,7 @@
 import type { JobSpecification } from "../fleet/job_specification.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { createAcceptedEntry, createForgottenEntries, createProgressEntry } from "./job_records.ts";
+import { ShareMeter } from "./share_meter.ts";
 import type { RunControl } from "./run_control.ts";
 
 /** A job that a caller hands in. */
@@ -24,6 +25,7 @@
   readonly #runs: RunControl;
   /** The jobs that are being stored, with those that wait for it. */
   readonly #accepting = new Map<string, (() => void)[]>();
+  readonly #shares = ShareMeter.create();
   readonly #cancelling = new Map<string, (() => void)[]>();
   /** Jobs with occurrences that are not due yet, with the next one. */
   readonly #timed = new Map<Job, number>();
@@ -53,6 +55,7 @@
     state.ports.write([createAcceptedEntry(job)], () => {
       this.#accepting.delete(job.id);
       state.jobs.set(job.id, job);
+      this.#measure(job);
       state.log("job-accepted", {
         request: job.id,
         queue: job.queue,
@@ -137,6 +140,24 @@
     }
   }
 
+  /** Takes account of a new job in the shares of customers and the work that arrives. */
+  #measure(job: Job): void {
+    const state = this.#state;
+    const customer = state.configuration.customers.get(job.customer);
+    if (customer !== undefined) {
+      job.isBeyondShare = this.#shares.isBeyondShare(customer.name, customer.weight, state.now);
+    }
+    const service = state.getService(job);
+    if (service === undefined || job.specification.repeats > 0) return;
+    let work = 0;
+    for (const specification of job.specification.steps) {
+      if (specification.isLasting) continue;
+      const milliseconds = state.durations.getDuration({ job, specification });
+      work += specification.count * specification.demand.cpu * milliseconds;
+    }
+    state.arrivals.add(service, work, state.now);
+  }
+
   #schedule(job: Job, state: TaskState): void {
     if (job.specification.repeats === 0) {
       if (!job.occurrences.has(0) && !job.doneOccurrences.has(0)) {
--- a/src/owner/lasting_budget.ts
+++ b/src/owner/lasting_budget.ts
@@ -2,20 +2,24 @@
 
 import { type JobTask, TaskState } from "../fleet/job.ts";
 import { RunStage } from "../fleet/run.ts";
+import type { FleetState } from "./fleet_state.ts";
 
 /** The percentage that a lasting task reports once it is at work. */
 const AT_WORK_PERCENT = 100;
 
-/** Gets whether a lasting task is at work. */
-export function isAtWork(task: JobTask): boolean {
-  return task.state === TaskState.Assigned && task.run !== undefined &&
-    task.run.stage === RunStage.Running && task.run.percent >= AT_WORK_PERCENT;
+/** Gets whether a lasting task is known to be at work, on an executor that answers. */
+export function isAtWork(state: FleetState, task: JobTask): boolean {
+  const { run } = task;
+  if (task.state !== TaskState.Assigned || run === undefined) return false;
+  const executor = state.executors.get(run.executorId);
+  return run.stage === RunStage.Running && run.percent >= AT_WORK_PERCENT &&
+    executor !== undefined && executor.failingSince === undefined;
 }
 
 /** Gets whether a task may be stopped on purpose while enough others of its step are at work. */
-export function mayBeStopped(task: JobTask): boolean {
+export function mayBeStopped(state: FleetState, task: JobTask): boolean {
   const { step } = task;
   if (!step.specification.isLasting || step.specification.mostAway === 0) return true;
-  const away = step.tasks.filter((other) => other !== task && !isAtWork(other)).length;
+  const away = step.tasks.filter((other) => other !== task && !isAtWork(state, other)).length;
   return away < step.specification.mostAway;
 }
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -87,12 +87,14 @@
     const state = this.#state;
     const mayWait = executor.isFenced && executor.failingSince === undefined &&
       executor.runs.size > 0 && ![...executor.runs.values()].some(({ run }) => isUnsettled(run));
+    // A look that is not answered may arrive later: a longer lease would keep its tasks in doubt.
+    const mayExtend = state.mayExtend && executor.failingSince === undefined;
     executor.isLooking = true;
     state.ports.look({
       executor: executor.entry,
       fence: state.fence,
       acknowledged: executor.storedEnd,
-      deadline: state.mayExtend ? executor.grantDeadline(state.now, state.leaseMilliseconds) : 0,
+      deadline: mayExtend ? executor.grantDeadline(state.now, state.leaseMilliseconds) : 0,
       waitMilliseconds: mayWait ? LOOK_WAIT_MILLISECONDS : 0,
     });
     executor.acknowledgedEnd = executor.storedEnd;
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -103,17 +103,6 @@
     return false;
   }
 
-  /** Gets whether a host is being emptied or maintained. */
-  isBusy(host: string): boolean {
-    for (const { places } of this.#waves.values()) {
-      const place = places.get(host);
-      if (place !== undefined && place.stage !== Stage.Waiting && place.stage !== Stage.Done) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Gets whether a host still has maintenance before it. */
   isDue(host: string): boolean {
     for (const { places } of this.#waves.values()) {
@@ -142,12 +131,9 @@
       case HostOrderOutcome.Done:
         this.#endExecutor(place);
         return this.#setStage(place, Stage.Away);
-      case HostOrderOutcome.Impossible: {
+      case HostOrderOutcome.Impossible:
         this.#setStage(place, Stage.Done);
-        const host = hosts.getHosts().get(order.host);
-        if (host !== undefined) hosts.reopen(host);
-        return;
-      }
+        return hosts.release(order.host);
       default:
         // Repeating is harmless: the order for one wave is carried out once.
         place.retryAt = state.now + RETRY_MILLISECONDS;
@@ -187,7 +173,7 @@
     known.sort((first, second) => hosts.getBurden(first) - hosts.getBurden(second));
     const width = this.#getWidth(progress, waiting.length + open);
     for (const host of known.slice(0, Math.max(0, width - open))) {
-      if (!hosts.isUp(host)) continue;
+      if (!hosts.isUp(host) || !hosts.reserve(host, "maintenance")) continue;
       this.#setStage(progress.places.get(host.name)!, Stage.Emptying);
       state.log("host-emptied", {
         host: host.name,
@@ -217,7 +203,10 @@
         if (host === undefined) this.#setStage(place, Stage.Done);
         return;
       case Stage.Emptying:
-        if (host === undefined) return this.#setStage(place, Stage.Done);
+        if (host === undefined) {
+          this.#setStage(place, Stage.Done);
+          return hosts.release(place.name);
+        }
         hosts.empty(host);
         if (state.now - place.since > PATIENCE_MILLISECONDS) hosts.clear(host);
         if (!hosts.isEmpty(host) || state.now < mayOrderFrom) return;
@@ -263,8 +252,7 @@
   #finish(progress: WaveProgress, place: Place): void {
     const { state, hosts } = this.#options;
     this.#setStage(place, Stage.Done);
-    const host = hosts.getHosts().get(place.name);
-    if (host !== undefined) hosts.reopen(host);
+    hosts.release(place.name);
     state.ports.write([this.#createEntry(progress)], () => {});
   }
 
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -53,6 +53,7 @@
 const CAPACITY_TERMS: CapacityTerms = {
   backlogMilliseconds: 1_000,
   usablePart: 0.9,
+  forecastPart: 0.75,
   spareHosts: 1,
   fewestHosts: 2,
 };
--- a/src/owner/pool_need.ts
+++ b/src/owner/pool_need.ts
@@ -8,8 +8,12 @@
   waitingCpu: number;
   /** The work of the waiting tasks, in thousandths of a core times milliseconds. */
   waitingWork: number;
+  /** The processor time that arrivals will keep busy soon, in thousandths of a core. */
+  forecastCpu: number;
   /** The executors that lasting tasks need, since they may not share one. */
   lastingExecutors: number;
+  /** The processor time of the lasting tasks that run, in thousandths of a core. */
+  lastingCpu: number;
   /** The processor time of one host, in thousandths of a core. */
   hostCpu: number;
 }
@@ -20,6 +24,8 @@
   backlogMilliseconds: number;
   /** The part of a host that can be filled with whole tasks. */
   usablePart: number;
+  /** The part of a host that arrivals are planned to fill, so that they seldom wait. */
+  forecastPart: number;
   /** The hosts that a pool has beyond those of its lasting tasks. */
   spareHosts: number;
   /** The fewest hosts of a pool. */
@@ -31,5 +37,12 @@
   const usable = load.hostCpu * terms.usablePart;
   const backlogCpu = Math.min(load.waitingCpu, load.waitingWork / terms.backlogMilliseconds);
   const forLoad = Math.ceil((load.usedCpu + backlogCpu) / usable);
-  return Math.max(forLoad, load.lastingExecutors + terms.spareHosts, terms.fewestHosts);
+  const forecast = load.forecastCpu / (load.hostCpu * terms.forecastPart);
+  const forArrivals = Math.ceil(forecast + load.lastingCpu / load.hostCpu);
+  return Math.max(
+    forLoad,
+    forArrivals,
+    load.lastingExecutors + terms.spareHosts,
+    terms.fewestHosts,
+  );
 }
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -184,6 +184,9 @@
     if (task.state === TaskState.Done) return;
     if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
     if (row.end === RunEnd.Done && !task.step.specification.isLasting) {
+      if (isCurrent && assigned.run.confirmedAt > 0 && task.checkpoint === "") {
+        state.durations.add(task.step, state.now - assigned.run.orderedAt);
+      }
       return this.#finish(task);
     }
     if (row.end === RunEnd.Failed) this.#countFailure(task, executor);
