Spread a job's work over its chain in the forecast of arrivals

Cause: the forecast counted a long job's whole work in its first second and followed the trend without bound (275 hosts asked for 7 in use).

--- a/src/owner/capacity.ts
+++ b/src/owner/capacity.ts
@@ -10,7 +10,7 @@
 import { type CapacityTerms, getHostsNeeded, type PoolLoad } from "./pool_need.ts";
 
 /** How long a pool keeps hosts that it needed, in milliseconds: a few times what a move costs. */
-const KEEP_MILLISECONDS = 4_000;
+const KEEP_MILLISECONDS = 3_000;
 /** How long a host may take to become empty before it stays, in milliseconds. */
 const EMPTYING_MILLISECONDS = 4_000;
 /** How long an order without an answer may still be carried out, in milliseconds. */
@@ -223,14 +223,27 @@
   /** Gets the hosts that a service needs: the most of late. */
   #getNeed(service: string): number {
     const { state, terms } = this.#options;
-    const need = getHostsNeeded(this.#getLoad(service), terms);
+    const load = this.#getLoad(service);
+    const need = getHostsNeeded(load, terms);
     const peak = this.#peaks.get(service);
     const isOver = peak === undefined || need >= peak.need ||
       state.now - peak.at > KEEP_MILLISECONDS;
     if (isOver) this.#peaks.set(service, { need, at: state.now });
+    if (isOver && need !== peak?.need) this.#logNeed(service, need, load);
     return this.#peaks.get(service)!.need;
   }
 
+  #logNeed(service: string, need: number, load: PoolLoad): void {
+    this.#options.state.log("pool-need", {
+      service,
+      hosts: need,
+      usedCpu: load.usedCpu,
+      waitingCpu: load.waitingCpu,
+      forecastCpu: Math.round(load.forecastCpu),
+      lasting: load.lastingExecutors,
+    });
+  }
+
   #getLoad(service: string): PoolLoad {
     const { state } = this.#options;
     const load = {
--- a/src/owner/duration_book.ts
+++ b/src/owner/duration_book.ts
@@ -6,6 +6,8 @@
 const NEW_PART = 0.05;
 /** How long a task takes of which nothing is known, in milliseconds. */
 const UNKNOWN_MILLISECONDS = 1_000;
+/** The longest that a declared duration is believed of which nothing is known, in milliseconds. */
+const LONGEST_UNKNOWN_MILLISECONDS = 2_000;
 
 /** Two ways to foretell a queue's durations, with the error that each has made. */
 interface QueueDurations {
@@ -46,7 +48,7 @@
   getDuration(step: Pick<JobStep, "job" | "specification">): number {
     const declared = step.specification.estimatedMilliseconds || UNKNOWN_MILLISECONDS;
     const known = this.#queues.get(step.job.queue);
-    if (known === undefined) return declared;
+    if (known === undefined) return Math.min(declared, LONGEST_UNKNOWN_MILLISECONDS);
     return known.meanError < known.ratioError ? known.mean : known.ratio * declared;
   }
 }
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -3,6 +3,7 @@
 import { Job, JobState, TaskState } from "../fleet/job.ts";
 import type { JobSpecification } from "../fleet/job_specification.ts";
 import type { FleetState } from "./fleet_state.ts";
+import { getChain } from "./job_chain.ts";
 import { createAcceptedEntry, createForgottenEntries, createProgressEntry } from "./job_records.ts";
 import { ShareMeter } from "./share_meter.ts";
 import type { RunControl } from "./run_control.ts";
@@ -155,7 +156,8 @@
       const milliseconds = state.durations.getDuration({ job, specification });
       work += specification.count * specification.demand.cpu * milliseconds;
     }
-    state.arrivals.add(service, work, state.now);
+    const chainMilliseconds = getChain(state.durations, job, 0);
+    state.arrivals.add({ service, work, chainMilliseconds, now: state.now });
   }
 
   #schedule(job: Job, state: TaskState): void {
--- a/src/owner/job_order.ts
+++ b/src/owner/job_order.ts
@@ -1,8 +1,9 @@
 /** In which order the steps that are ready start. */
 
-import type { Job, JobStep } from "../fleet/job.ts";
+import type { JobStep } from "../fleet/job.ts";
 import type { DurationBook } from "./duration_book.ts";
 import type { FleetState } from "./fleet_state.ts";
+import { getChain } from "./job_chain.ts";
 
 /** Where a step stands: compared number by number, the lower one goes first. */
 export type StepRank = readonly number[];
@@ -33,7 +34,7 @@
     const priority = getPriority(state, step);
     if (specification.isLasting) return [0, priority, job.acceptedAt, 0, 0];
     const deadline = getDeadline(state, durations, step);
-    const remaining = getChain(durations, step, step.number);
+    const remaining = getChain(durations, job, step.number);
     const isMissed = state.timeOfDay + remaining > deadline;
     return [
       1,
@@ -59,26 +60,10 @@
   const { job } = step;
   const queue = state.getQueue(job.queue);
   const begin = job.getDueAt(step.occurrence) || job.acceptedAt;
-  const chain = getChain(durations, step, 0);
+  const chain = getChain(durations, job, 0);
   return begin + (queue?.stretch ?? 1) * chain + (queue?.objectiveMilliseconds ?? 0);
 }
 
-/** Gets the longest chain of work from a step on, or of the whole occurrence from step 0. */
-function getChain(durations: DurationBook, step: JobStep, from: number): number {
-  const { steps } = step.job.specification;
-  const ends: number[] = [];
-  let longest = 0;
-  for (let number = 0; number < steps.length; number += 1) {
-    const specification = steps[number]!;
-    const begin = Math.max(0, ...specification.after.map((earlier) => ends[earlier] ?? 0));
-    const isCounted = number >= from;
-    const own = isCounted ? durations.getDuration({ job: step.job as Job, specification }) : 0;
-    ends.push(begin + own);
-    longest = Math.max(longest, begin + own);
-  }
-  return longest;
-}
-
 function getPriority(state: FleetState, step: JobStep): number {
   return state.getQueue(step.job.queue)?.priority ?? 0;
 }
