Count what may run unseen at a take-over against customers' ceilings

Runs of known jobs are adopted also when the job is over, and stopped. Ruled out: the ceiling's own sum (it held in runs without a new owner).

--- a/src/fleet/resources.ts
+++ b/src/fleet/resources.ts
@@ -20,6 +20,13 @@
   total.accelerators += added.accelerators * times;
 }
 
+/** Lowers each amount to a limit, in place. */
+export function limitResources(amounts: Resources, limit: Resources): void {
+  amounts.cpu = Math.min(amounts.cpu, limit.cpu);
+  amounts.memory = Math.min(amounts.memory, limit.memory);
+  amounts.accelerators = Math.min(amounts.accelerators, limit.accelerators);
+}
+
 /** Gets whether used and wanted resources together stay within a capacity. */
 export function isWithin(used: Resources, wanted: Resources, capacity: Resources): boolean {
   return used.cpu + wanted.cpu <= capacity.cpu &&
--- a/src/owner/dispatch.ts
+++ b/src/owner/dispatch.ts
@@ -153,6 +153,8 @@
       memory: ceiling.memory || Infinity,
       accelerators: ceiling.accelerators || Infinity,
     };
+    const doubtful = state.doubtfulUsage.get(task.step.job.customer);
+    if (doubtful !== undefined) addResources(wanted, doubtful);
     return isWithin(state.getUsage(task.step.job.customer), wanted, bound);
   }
 }
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -13,6 +13,7 @@
 import { JobDesk, type Submission } from "./job_desk.ts";
 import { createExecutorEntry, readStoredExecutors } from "./executor_records.ts";
 import { HostControl } from "./host_control.ts";
+import { addResources, limitResources, NO_RESOURCES, type Resources } from "../fleet/resources.ts";
 import { createUrgencyOrder } from "./job_order.ts";
 import { createProgressEntry } from "./job_records.ts";
 import { getLife, LookControl } from "./look_control.ts";
@@ -130,6 +131,7 @@
       if (executor !== undefined) executor.isRecorded = true;
     }
     this.setExecutors(options.executors);
+    this.#settleUnknown();
   }
 
   /** Creates an owner from what earlier owners stored. */
@@ -320,19 +322,29 @@
     const state = this.#state;
     const isDoubtOver = state.now >= this.#doubtUntil;
     const doubtful = new Set<string>();
+    const room = { ...NO_RESOURCES };
     for (const id of this.#unsettled) {
       const executor = state.executors.get(id);
       if (executor === undefined || executor.isFenced || isDoubtOver) this.#unsettled.delete(id);
-      else doubtful.add(executor.entry.service);
+      else {
+        doubtful.add(executor.entry.service);
+        addResources(room, executor.entry.capacity);
+      }
     }
+    const usage = new Map<string, Resources>();
     for (const job of state.jobs.values()) {
       if (job.outcome !== undefined) continue;
       const service = state.getService(job);
-      if (service !== undefined && doubtful.has(service)) continue;
+      const isDoubtful = service !== undefined && doubtful.has(service);
       for (const task of job.getTasks()) {
-        if (task.state === TaskState.Unknown) state.requeueUnknown(task);
+        if (task.state !== TaskState.Unknown) continue;
+        if (isDoubtful) addTo(usage, job.customer, task.step.specification.demand);
+        else state.requeueUnknown(task);
       }
     }
+    // What may run unseen fits into the executors that have not answered.
+    for (const resources of usage.values()) limitResources(resources, room);
+    state.doubtfulUsage = usage;
     if (this.#unsettled.size === 0 && state.configuration.version > 0) this.#hasUnknown = false;
   }
 
@@ -360,3 +372,9 @@
     for (const executor of state.executors.values()) executor.failureScore *= factor;
   }
 }
+
+function addTo(usage: Map<string, Resources>, customer: string, demand: Resources): void {
+  const total = usage.get(customer) ?? { ...NO_RESOURCES };
+  addResources(total, demand);
+  usage.set(customer, total);
+}
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -86,6 +86,8 @@
   readonly durations = DurationBook.create();
   /** The work that arrives. */
   readonly arrivals = ArrivalMeter.create();
+  /** What each customer may have running on executors that have not answered this owner yet. */
+  doubtfulUsage: ReadonlyMap<string, Resources> = new Map();
   /** Whether something has changed that lets tasks start. */
   needsDispatch = true;
   #lastRun = 0;
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -2,7 +2,8 @@
 
 import type { AssignedRun, Executor } from "../fleet/executor.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
-import { TaskState } from "../fleet/job.ts";
+import { type JobTask, TaskState } from "../fleet/job.ts";
+import { parseTaskName } from "../fleet/job_specification.ts";
 import { type Run, RunStage } from "../fleet/run.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { type LookAnswer, type LookReport, OrderOutcome, type RunningRow } from "./owner_ports.ts";
@@ -159,13 +160,11 @@
     }
   }
 
-  /** Takes over a run that an earlier owner started, or stops what has no business running. */
+  /** Takes over a run that an earlier owner started; it counts for room and ceilings until it ends. */
   #adopt(executor: Executor, row: RunningRow): void {
     const state = this.#state;
-    const task = findTask(state, row.task);
-    const isWanted = task !== undefined && task.run === undefined &&
-      task.state === TaskState.Unknown && task.step.job.outcome === undefined;
-    if (!isWanted) {
+    const task = this.#findAdoptable(row.task);
+    if (task === undefined || task.run !== undefined || task.state === TaskState.Done) {
       executor.strayCount += 1;
       state.log("stray-run-stopped", { task: row.task, run: row.run, executor: executor.id });
       state.ports.stop({
@@ -193,6 +192,20 @@
     if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
     state.addRun(executor, { run, task });
     state.log("run-adopted", { request: task.step.job.id, task: row.task, executor: executor.id });
+    if (task.step.job.outcome !== undefined) {
+      this.#runs.stop(executor, { run, task }, "the job is over");
+    }
+  }
+
+  /** Gets the task of a run, also one of a job that is over. */
+  #findAdoptable(name: string): JobTask | undefined {
+    const parts = parseTaskName(name);
+    const job = parts && this.#state.jobs.get(parts.jobId);
+    if (parts === undefined || job === undefined) return undefined;
+    if (job.outcome !== undefined && !job.occurrences.has(parts.occurrence)) {
+      job.addOccurrence(parts.occurrence, TaskState.Waiting);
+    }
+    return findTask(this.#state, name);
   }
 
   /** Settles a run that the executor does not list: it never came, is late, or was lost. */
--- a/src/platform/stand_in/executor_model.ts
+++ b/src/platform/stand_in/executor_model.ts
@@ -137,6 +137,11 @@
     };
   }
 
+  /** Gets whether the lease has run out. */
+  isLapsed(now: number): boolean {
+    return this.getClock(now) > this.#deadline;
+  }
+
   /** Gets the tasks whose ends nobody has taken note of; a crash loses them. */
   getUnacknowledged(): string[] {
     return this.#ended.map(({ task }) => task);
@@ -153,7 +158,7 @@
 
   /** Ends what is over at a time. */
   advance(now: number): void {
-    const isLapsed = this.getClock(now) > this.#deadline;
+    const isLapsed = this.isLapsed(now);
     for (const run of [...this.running.values()]) {
       if (isLapsed) this.#end(run, RunEnd.Lapsed);
       else if (now >= run.startedAt + run.plan.milliseconds) this.#end(run, run.plan.end);
