--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -16,6 +16,17 @@
   task: JobTask;
 }
 
+/** Whether the journal names an executor; nothing is started on one that it does not name. */
+export const ExecutorRecord = {
+  /** It does not. */
+  None: "none",
+  /** The entry is on its way. */
+  Storing: "storing",
+  /** It does. */
+  Stored: "stored",
+} as const;
+export type ExecutorRecord = typeof ExecutorRecord[keyof typeof ExecutorRecord];
+
 /** A reading of an executor's clock. */
 export interface ClockReading {
   /** The executor's clock, in milliseconds. */
@@ -33,7 +44,7 @@
   /** Whether it has answered under the owner's fence. */
   isFenced = false;
   /** Whether the journal names it, so that a later owner looks here. */
-  isRecorded = false;
+  record: ExecutorRecord = ExecutorRecord.None;
   /** The runs that it reported and that no task accounts for; their room is not known. */
   strayCount = 0;
   /** Whether it is being emptied for a planned action. */
@@ -46,6 +57,8 @@
   failingSince: number | undefined;
   /** Until when no task is started here, on the steady clock. */
   avoidedUntil = 0;
+  /** How many times as long as expected tasks take here, of late. */
+  slowness = 1;
   /** The recent failures of runs here, which decay. */
   failureScore = 0;
   /** The number of the last end that was acted on. */
@@ -93,7 +106,8 @@
 
   /** Gets whether tasks may be started here. */
   isOpen(now: number): boolean {
-    return this.isFenced && this.isListed && this.isRecorded && this.strayCount === 0 &&
+    return this.isFenced && this.isListed && this.record === ExecutorRecord.Stored &&
+      this.strayCount === 0 &&
       !this.isClosed && !this.entry.isDraining &&
       this.failingSince === undefined && this.avoidedUntil <= now;
   }
--- a/src/fleet/job.ts
+++ b/src/fleet/job.ts
@@ -53,6 +53,8 @@
   run?: Run | undefined;
   /** When it last stopped being at work, on the steady clock; for lasting tasks. */
   awaySince: number;
+  /** How often it was stopped because it stood still. */
+  stalls: number;
   /** The executor on which it last failed. */
   lastFailedOn?: string | undefined;
 }
@@ -173,6 +175,7 @@
           index,
           state,
           failures: 0,
+          stalls: 0,
           checkpoint: "",
           awaySince: 0,
         });
--- a/src/owner/dispatch.ts
+++ b/src/owner/dispatch.ts
@@ -18,13 +18,10 @@
   rankStep: RankStep;
   /** Which executor a task prefers. */
   rankExecutor: RankExecutor;
-  /** Gets the ticket for a step on an executor, `none` where none is needed, or undefined to wait. */
+  /** Gets the ticket for a step on an executor, or undefined where there is none yet. */
   getTicket: (step: JobStep, executor: Executor) => string | undefined;
 }
 
-/** The ticket where a queue needs no advice. */
-export const NO_TICKET = "";
-
 /** The decisions on what starts where. */
 export class Dispatch {
   readonly #options: DispatchOptions;
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -1,17 +1,18 @@
 /** The owner of the fleet: the one that decides, while it holds the claim. */
 
 import type { Configuration } from "../fleet/configuration.ts";
-import { Executor } from "../fleet/executor.ts";
+import { Executor, ExecutorRecord } from "../fleet/executor.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { Job, JobState } from "../fleet/job.ts";
 import { TaskState } from "../fleet/job.ts";
 import type { Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { OperatorRequests } from "../fleet/maintenance_wave.ts";
+import { type Advice, AdviceControl } from "./advice_control.ts";
 import { Capacity } from "./capacity.ts";
-import { Dispatch, NO_TICKET } from "./dispatch.ts";
+import { Dispatch } from "./dispatch.ts";
 import { FleetState, type FleetStateOptions } from "./fleet_state.ts";
 import { JobDesk, type Submission } from "./job_desk.ts";
-import { createExecutorEntry, readStoredExecutors } from "./executor_records.ts";
+import { readStoredExecutors } from "./executor_records.ts";
 import { HostControl } from "./host_control.ts";
 import { addResources, limitResources, NO_RESOURCES, type Resources } from "../fleet/resources.ts";
 import { createUrgencyOrder } from "./job_order.ts";
@@ -20,7 +21,9 @@
 import { Maintenance } from "./maintenance.ts";
 import { rankLeastLoaded } from "./placement.ts";
 import type { CapacityTerms } from "./pool_need.ts";
+import { PaceControl } from "./pace_control.ts";
 import { RunControl } from "./run_control.ts";
+import { RunHealth } from "./run_health.ts";
 import type { LookAnswer, MaintainOrder, MoveOrder, OrderAnswer } from "./owner_ports.ts";
 
 /** What holds at the moment of a decision. */
@@ -75,6 +78,9 @@
   readonly #runs: RunControl;
   readonly #looks: LookControl;
   readonly #desk: JobDesk;
+  readonly #advice: AdviceControl;
+  readonly #health: RunHealth;
+  readonly #pace: PaceControl;
   readonly #dispatch: Dispatch;
   readonly #hosts: HostControl;
   readonly #maintenance: Maintenance;
@@ -95,12 +101,15 @@
     this.#runs = RunControl.create(this.#state);
     this.#looks = LookControl.create(this.#state, this.#runs);
     this.#desk = JobDesk.create(this.#state, this.#runs);
+    this.#advice = AdviceControl.create(this.#state);
+    this.#health = RunHealth.create(this.#state, this.#runs);
+    this.#pace = PaceControl.create(this.#state);
     this.#dispatch = Dispatch.create({
       state: this.#state,
       runs: this.#runs,
       rankStep: createUrgencyOrder(this.#state, this.#state.durations),
       rankExecutor: rankLeastLoaded,
-      getTicket: () => NO_TICKET,
+      getTicket: (step, executor) => this.#advice.getTicket(step, executor),
     });
     this.#hosts = HostControl.create(this.#state, this.#runs);
     this.#maintenance = Maintenance.create({
@@ -122,13 +131,10 @@
     this.#doubtUntil = options.startedAt + options.doubtMilliseconds;
     for (const job of options.jobs) this.#desk.restore(job);
     const recorded = readStoredExecutors(options.stored);
-    for (const entry of [...recorded, ...options.executors]) {
+    for (const entry of recorded) {
       this.#unsettled.add(entry.id);
       this.#setExecutor(entry);
-    }
-    for (const { id } of recorded) {
-      const executor = this.#state.executors.get(id);
-      if (executor !== undefined) executor.isRecorded = true;
+      this.#state.executors.get(entry.id)!.record = ExecutorRecord.Stored;
     }
     this.setExecutors(options.executors);
     this.#settleUnknown();
@@ -145,8 +151,8 @@
     if (moment.mayStart && !state.mayStart) state.needsDispatch = true;
     state.now = moment.now;
     state.timeOfDay = moment.timeOfDay;
-    state.mayStart = moment.mayStart;
-    state.mayExtend = moment.mayExtend;
+    state.mayStart = moment.mayStart && !state.isDeposed;
+    state.mayExtend = moment.mayExtend && !state.isDeposed;
     state.leaseMilliseconds = moment.leaseMilliseconds;
   }
 
@@ -233,6 +239,11 @@
     this.#maintenance.handleAnswer(order, outcome);
   }
 
+  /** Takes the adviser's answer, or undefined if there was none. */
+  handleAdvice(step: string, asked: readonly string[], advice: Advice | undefined): void {
+    this.#advice.handleAnswer(step, asked, advice);
+  }
+
   /** Acts on the answer to an order to move a host. */
   handleMoveAnswer(order: MoveOrder, outcome: HostOrderOutcome): void {
     this.#capacity.handleAnswer(order, outcome);
@@ -249,6 +260,9 @@
     }
     this.#decayFailures();
     this.#askForHosts();
+    this.#health.tick();
+    this.#pace.tick();
+    this.#advice.tick();
     this.#maintenance.tick();
     this.#capacity.tick();
     state.needsDispatch = true;
@@ -275,15 +289,6 @@
     };
   }
 
-  /** Stores where this owner may start something, so that a later one looks there. */
-  #record(executor: Executor): void {
-    const state = this.#state;
-    state.ports.write([createExecutorEntry(executor.entry)], () => {
-      executor.isRecorded = true;
-      state.needsDispatch = true;
-    });
-  }
-
   #askForHosts(): void {
     const state = this.#state;
     const interval = this.#maintenance.isActive() ? BUSY_LIST_MILLISECONDS : IDLE_LIST_MILLISECONDS;
@@ -305,9 +310,7 @@
       executor.entry = entry;
       return;
     }
-    const listed = Executor.create(entry);
-    state.executors.set(entry.id, listed);
-    this.#record(listed);
+    state.executors.set(entry.id, Executor.create(entry));
     state.log("executor-listed", {
       executor: entry.id,
       service: entry.service,
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -58,6 +58,8 @@
   mayStart = false;
   /** Whether the owner may extend leases now. */
   mayExtend = false;
+  /** Whether an executor has seen the fence of a later owner. */
+  isDeposed = false;
   /** The lease that a look grants now, in milliseconds. */
   leaseMilliseconds = 0;
   /** The configuration. */
@@ -112,6 +114,15 @@
     return this.fence * RUNS_PER_FENCE + this.#lastRun;
   }
 
+  /** Stops all orders: an executor has seen the fence of a later owner. */
+  depose(executorId: string): void {
+    if (this.isDeposed) return;
+    this.isDeposed = true;
+    this.mayStart = false;
+    this.mayExtend = false;
+    this.log("owner-deposed", { fence: this.fence, executor: executorId });
+  }
+
   /** Gets the queue of a job; one that was removed is remembered as it was last. */
   getQueue(name: string): Queue | undefined {
     const queue = this.configuration.getQueue(name) ?? this.#queues.get(name);
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -1,13 +1,13 @@
 /** Looks at executors: extends leases, and brings what is believed in line with what they report. */
 
-import type { AssignedRun, Executor } from "../fleet/executor.ts";
+import { type AssignedRun, type Executor, ExecutorRecord } from "../fleet/executor.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import { type JobTask, TaskState } from "../fleet/job.ts";
 import { parseTaskName } from "../fleet/job_specification.ts";
 import { type Run, RunStage } from "../fleet/run.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { type LookAnswer, type LookReport, OrderOutcome, type RunningRow } from "./owner_ports.ts";
-import { createExecutorGoneEntry } from "./executor_records.ts";
+import { createExecutorEntry, createExecutorGoneEntry } from "./executor_records.ts";
 import { findTask, type RunControl } from "./run_control.ts";
 
 /** How long a report may wait for an end, in milliseconds: a third of the lease. */
@@ -52,6 +52,7 @@
     if (answer.outcome !== OrderOutcome.Done) {
       return this.#handleFailedLook(executor, answer.outcome);
     }
+    if (executor.record === ExecutorRecord.None) this.#record(executor);
     if (executor.failingSince !== undefined) {
       state.log("executor-regained", {
         executor: executor.id,
@@ -103,6 +104,7 @@
 
   #handleFailedLook(executor: Executor, outcome: OrderOutcome): void {
     const state = this.#state;
+    if (outcome === OrderOutcome.Fenced) state.depose(executor.id);
     if (outcome === OrderOutcome.Gone) return this.endExecutor(executor, "another one answers");
     if (executor.failingSince === undefined) {
       executor.failingSince = state.now;
@@ -234,11 +236,27 @@
 
   #endLapsed(executor: Executor): void {
     const state = this.#state;
-    if (executor.runs.size === 0 || executor.failingSince === undefined) return;
-    if (state.now <= executor.getLapsedAt()) return;
+    if (executor.failingSince === undefined || state.now <= executor.getLapsedAt()) return;
     for (const assigned of [...executor.runs.values()]) {
       this.#runs.handleLost(executor, assigned, "its lease ran out");
     }
+    if (executor.record === ExecutorRecord.Stored && executor.isFenced) this.#forget(executor);
+  }
+
+  /** Tells later owners that nothing runs on an executor: they need not wait for it. */
+  #forget(executor: Executor): void {
+    executor.record = ExecutorRecord.None;
+    this.#state.ports.write([createExecutorGoneEntry(executor.id)], () => {});
+  }
+
+  /** Stores where this owner may start something, so that a later one looks there. */
+  #record(executor: Executor): void {
+    const state = this.#state;
+    executor.record = ExecutorRecord.Storing;
+    state.ports.write([createExecutorEntry(executor.entry)], () => {
+      if (executor.record === ExecutorRecord.Storing) executor.record = ExecutorRecord.Stored;
+      state.needsDispatch = true;
+    });
   }
 }
 
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -184,7 +184,7 @@
     if (open === 0 && waiting.length === 0) this.#complete(progress);
   }
 
-  /** Gets how many hosts are worked on at once: as few as the time allows, at most the ceiling. */
+  /** Gets how many hosts are worked on at once: half the ceiling, or as many as the time demands. */
   #getWidth(progress: WaveProgress, left: number): number {
     const { state, awayMilliseconds } = this.#options;
     const { wave, startedAt } = progress;
@@ -192,7 +192,7 @@
     const timeLeft = Math.max(1, plannedEnd - state.now);
     const eachMilliseconds = awayMilliseconds + PATIENCE_MILLISECONDS;
     const needed = Math.ceil(left * eachMilliseconds / timeLeft);
-    return Math.max(1, Math.min(wave.ceiling, needed));
+    return Math.max(1, Math.min(wave.ceiling, Math.max(needed, Math.ceil(wave.ceiling / 2))));
   }
 
   #advancePlace(progress: WaveProgress, place: Place): void {
--- a/src/owner/owner_ports.ts
+++ b/src/owner/owner_ports.ts
@@ -171,6 +171,8 @@
   pace: (order: PaceOrder) => void;
   /** Sends a look. */
   look: (order: LookOrder) => void;
+  /** Asks the adviser which executors may run a step. */
+  askAdvice: (step: string, executors: readonly string[]) => void;
   /** Asks for the provider's list of hosts. */
   listHosts: () => void;
   /** Sends an order to maintain a host. */
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -18,6 +18,7 @@
 import { AUTHORITY_MILLISECONDS } from "../ownership/ownership_task.ts";
 import type { JournalStore } from "../ownership/ownership_ports.ts";
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
+import type { Advice } from "./advice_control.ts";
 import { FleetOwner } from "./fleet_owner.ts";
 import type { OwnerLimits } from "./fleet_state.ts";
 import type { CapacityTerms } from "./pool_need.ts";
@@ -41,7 +42,7 @@
 /** The lease that a look grants, in milliseconds: three looks. */
 export const LEASE_MILLISECONDS = 3_000;
 /** How long a lease may last beyond the owner's last confirmation, in milliseconds. */
-const OUTAGE_LEASE_MILLISECONDS = 8_000;
+const OUTAGE_LEASE_MILLISECONDS = 6_500;
 /** How long the store may be silent before leases are made to outlast an outage, in milliseconds. */
 const STORE_TROUBLE_MILLISECONDS = 1_200;
 /** How long the journal may fail before submissions are refused at once, in milliseconds. */
@@ -49,6 +50,9 @@
 /** When callers come back while the store is away, in seconds. */
 const STORE_RETRY_SECONDS = 2;
 
+/** How much longer leases are waited for, since an executor's clock may be 2% slow. */
+const CLOCK_MARGIN = 1.03;
+
 /** How the sizes of pools follow their load. */
 const CAPACITY_TERMS: CapacityTerms = {
   backlogMilliseconds: 1_000,
@@ -94,6 +98,7 @@
   | { kind: "hosts-listed"; hosts: Host[] | undefined }
   | { kind: "maintain-answered"; order: MaintainOrder; outcome: HostOrderOutcome }
   | { kind: "move-answered"; order: MoveOrder; outcome: HostOrderOutcome }
+  | { kind: "advised"; step: string; asked: readonly string[]; advice: Advice | undefined }
   | { kind: "settle" }
   | { kind: "tick" }
   /** The process is stopping: nothing more is started, and the reply comes when all is stored. */
@@ -111,6 +116,8 @@
   executors: ExecutorCalls;
   /** The provider of hosts, where there is one. */
   provider?: HostProvider | undefined;
+  /** Asks the adviser which executors may run a step, where there is one. */
+  askAdvice: (step: string, executors: readonly string[]) => Promise<Advice | undefined>;
   /** Tells operators how far a wave is. */
   writeStatus: (wave: number, isCompleted: boolean) => void;
   /** How long holders of orders for a host must be apart, in milliseconds. */
@@ -214,6 +221,10 @@
         this.#setMoment();
         this.#owner?.handleMoveAnswer(message.order, message.outcome);
         break;
+      case "advised":
+        this.#setMoment();
+        this.#owner?.handleAdvice(message.step, message.asked, message.advice);
+        break;
       case "settle":
         this.#isSettling = false;
         this.#setMoment();
@@ -309,7 +320,7 @@
       capacityTerms: CAPACITY_TERMS,
       maintenanceMilliseconds: this.#options.maintenanceMilliseconds,
       executors: this.#entries,
-      doubtMilliseconds: this.#getEarlierLease() + (isHandedOver ? 0 : AUTHORITY_MILLISECONDS),
+      doubtMilliseconds: this.#getEarlierLease() * CLOCK_MARGIN,
     });
     this.#owner.setRequests(this.#requests);
     this.#stored = [];
@@ -344,7 +355,7 @@
   }
 
   #createPorts(): OwnerPorts {
-    const { executors, getSteady, provider, writeStatus } = this.#options;
+    const { executors, getSteady, provider, writeStatus, askAdvice } = this.#options;
     return {
       listHosts: () =>
         void provider?.list().then((hosts) => this.post({ kind: "hosts-listed", hosts })),
@@ -356,6 +367,10 @@
         void provider?.move(order.host, order.pool, order.fence).then((outcome) =>
           this.post({ kind: "move-answered", order, outcome })
         ),
+      askAdvice: (step, asked) =>
+        void askAdvice(step, asked).then((advice) =>
+          this.post({ kind: "advised", step, asked, advice })
+        ),
       writeStatus,
       start: (order) => {
         const sentAt = getSteady();
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -57,7 +57,7 @@
 
 /** Ranks the executor with the most free processor time first, on the wanted rack where there is one. */
 export function rankLeastLoaded(executor: Executor, task: JobTask): number {
-  return executor.getLoad() + getAvoidance(executor, task);
+  return executor.getLoad() + getSlowness(executor) + getAvoidance(executor, task);
 }
 
 /** Ranks the fullest executor that has room first, so that others become empty. */
@@ -65,6 +65,14 @@
   return 1 - executor.getLoad() + getAvoidance(executor, task);
 }
 
+/** Gets what an executor that takes longer than others ranks behind, from the factor where it tells. */
+function getSlowness(executor: Executor): number {
+  return executor.slowness > SLOW_FACTOR ? executor.slowness : 0;
+}
+
+/** How many times as long as expected tasks must take for an executor to count as slow. */
+const SLOW_FACTOR = 2.2;
+
 function getAvoidance(executor: Executor, task: JobTask): number {
   const { rack } = task.step.specification;
   const isFar = rack !== undefined && !executor.entry.labels.includes(rack);
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -11,6 +11,7 @@
 } from "../fleet/job.ts";
 import { type Run, RunEnd, RunStage } from "../fleet/run.ts";
 import type { FleetState } from "./fleet_state.ts";
+import { countRunDone, countRunFailure } from "./run_health.ts";
 import { type EndedRow, type OrderAnswer, OrderOutcome } from "./owner_ports.ts";
 
 /** How long an executor that is unwell gets no starts, in milliseconds. */
@@ -114,7 +115,7 @@
         if (run.stage === RunStage.Ordered) run.stage = RunStage.InDoubt;
         return this.stop(executor, assigned, "start-unanswered");
       case OrderOutcome.Fenced:
-        return;
+        return state.depose(executorId);
       case OrderOutcome.Unwell:
       case OrderOutcome.NoRoom:
       case OrderOutcome.Gone:
@@ -185,7 +186,9 @@
     if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
     if (row.end === RunEnd.Done && !task.step.specification.isLasting) {
       if (isCurrent && assigned.run.confirmedAt > 0 && task.checkpoint === "") {
-        state.durations.add(task.step, state.now - assigned.run.orderedAt);
+        const milliseconds = state.now - assigned.run.orderedAt;
+        countRunDone(executor, milliseconds, state.durations.getDuration(task.step));
+        state.durations.add(task.step, milliseconds);
       }
       return this.#finish(task);
     }
@@ -285,8 +288,7 @@
   #countFailure(task: JobTask, executor: Executor): void {
     const state = this.#state;
     const { step } = task;
-    executor.failureScore += 1;
-    task.lastFailedOn = executor.id;
+    countRunFailure(state, executor, task);
     if (step.specification.isLasting || step.job.outcome !== undefined) return;
     const counted = step.specification.isGang ? step.tasks[0]! : task;
     counted.failures += 1;
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -12,6 +12,7 @@
 import type { Claim } from "../ownership/ownership_ports.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
 import { AnswerOutcome } from "../front/call.ts";
+import { AdviserClient } from "./adviser_client.ts";
 import { CallerListener } from "./caller_listener.ts";
 import { ExecutorClient } from "./executor_client.ts";
 import { HostMetrics } from "./host_metrics.ts";
@@ -66,6 +67,7 @@
   readonly #clock = ElapsedClock.create();
   readonly #store: StoreClient;
   readonly #provider: ProviderClient | undefined;
+  readonly #adviser: AdviserClient | undefined;
   readonly #operators: OperatorState;
   readonly #front: FrontTask;
   readonly #callers: CallerListener;
@@ -91,6 +93,9 @@
       holder: settings.name,
       log,
     });
+    this.#adviser = settings.adviserAddress === undefined
+      ? undefined
+      : AdviserClient.create(settings.adviserAddress, log);
     this.#operators = OperatorState.create(log);
     this.#metrics = HostMetrics.create(() => this.#getGauges());
     this.#front = this.#createFront();
@@ -185,6 +190,7 @@
     this.#readiness.closeAllConnections();
     this.#metrics.close();
     this.#provider?.close();
+    this.#adviser?.close();
     this.#store.close();
   }
 
@@ -301,6 +307,7 @@
       journalStore: createJournalStore(this.#store),
       executors: client,
       provider: this.#provider,
+      askAdvice: async (step, executors) => await this.#adviser?.ask(step, executors),
       writeStatus: (wave, isCompleted) =>
         void writeWaveStatus(this.#store, wave, isCompleted, this.#log),
       providerLeaseMilliseconds: bounds.providerLeaseMilliseconds,
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -272,6 +272,7 @@
             )
           ));
       },
+      askAdvice: () => {},
       listHosts: () => {},
       maintain: () => {},
       move: () => {},
