Play whole hosts against stand-ins of the store and of executors

Cause: the adapter had no test. Two hosts, a store and executors on loopback: a job's way, each wrong call, hand-over, lost answers, a store that is away. Also: pools keep hosts 1.8 s instead of 3 s.

--- a/src/owner/capacity.ts
+++ b/src/owner/capacity.ts
@@ -10,7 +10,7 @@
 import { type CapacityTerms, getHostsNeeded, type PoolLoad } from "./pool_need.ts";
 
 /** How long a pool keeps hosts that it needed, in milliseconds: a few times what a move costs. */
-const KEEP_MILLISECONDS = 3_000;
+const KEEP_MILLISECONDS = 1_800;
 /** How long a host may take to become empty before it stays, in milliseconds. */
 const EMPTYING_MILLISECONDS = 4_000;
 /** How long an order without an answer may still be carried out, in milliseconds. */
--- /dev/null
+++ b/src/platform/platform_host_test.ts
@@ -0,0 +1,224 @@
+import test from "ava";
+import { createServer } from "node:net";
+import { request } from "undici";
+import type { EventFields } from "../events/mod.ts";
+import { listen } from "../links/listen.ts";
+import { RunEnd } from "../fleet/run.ts";
+import { PlatformHost } from "./platform_host.ts";
+import type { PlatformSettings } from "./platform_settings.ts";
+import { ExecutorStandIn } from "./stand_in/executor_stand_in.ts";
+import { StoreFault, StoreStandIn } from "./stand_in/store_stand_in.ts";
+
+const CONFIGURATION = {
+  version: 3,
+  routes: [{
+    name: "r-1",
+    host: "berths.example",
+    pathPrefix: "/berths/",
+    service: "berthbook",
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 1.6,
+    targetLatencyMs: 600,
+    public: false,
+  }],
+  services: [{ name: "berthbook", enforcesCapacity: false, spare: false }],
+  tenants: [{ name: "mine", apiKeys: ["a-key"], weight: 5 }],
+};
+
+const JOB = {
+  taskSpec: "rebuild the plan",
+  steps: [
+    { count: 2, cpu: 500, memMb: 100, estRuntimeMs: 50 },
+    { count: 1, cpu: 500, memMb: 100, estRuntimeMs: 50, after: [0] },
+  ],
+};
+
+interface Fleet {
+  store: StoreStandIn;
+  executors: ExecutorStandIn[];
+  hosts: PlatformHost[];
+  callers: string[];
+  events: { event: string; fields: EventFields }[];
+}
+
+async function getFreePort(): Promise<number> {
+  const server = createServer();
+  const address = await listen(server, { host: "127.0.0.1", port: 0 });
+  await new Promise((resolve) => server.close(resolve));
+  return Number(address.split(":")[1]);
+}
+
+async function startFleet(hostCount: number): Promise<Fleet> {
+  const store = StoreStandIn.create();
+  const storeAddress = await store.listen();
+  store.put("keyed.op", "config", CONFIGURATION);
+  store.put("keyed.servers", "i-garbage", { service: 7, addr: "nowhere" });
+  const executors = ["i-1", "i-2"].map((id) =>
+    ExecutorStandIn.create({
+      id,
+      service: "berthbook",
+      zone: "zl-a",
+      planRun: () => ({ milliseconds: 40, end: RunEnd.Done }),
+    })
+  );
+  for (const executor of executors) {
+    store.put("keyed.servers", executor.id, await executor.listen());
+  }
+  const fleet: Fleet = { store, executors, hosts: [], callers: [], events: [] };
+  for (let number = 1; number <= hostCount; number += 1) await addHost(fleet, storeAddress, number);
+  return fleet;
+}
+
+async function addHost(fleet: Fleet, storeAddress: string, number: number): Promise<void> {
+  const [caller, ready, peer] = [await getFreePort(), await getFreePort(), await getFreePort()];
+  const at = (port: number) => ({ host: "127.0.0.1", port });
+  const settings: PlatformSettings = {
+    name: `front-${number}`,
+    zone: "zl-a",
+    callerAddress: at(caller),
+    readyAddress: at(ready),
+    peerAddress: at(peer),
+    cores: 1,
+    storeAddress,
+    bounds: {
+      graceMilliseconds: 6_000,
+      keyWithdrawalMilliseconds: 5_000,
+      longestLeaseMilliseconds: 10_000,
+      stopMilliseconds: 100,
+      rememberMilliseconds: 120_000,
+      farFactor: 1.5,
+      providerLeaseMilliseconds: 3_000,
+      awayNoticeMilliseconds: 4_500,
+      moveMilliseconds: 1_500,
+      maintenanceMilliseconds: 2_000,
+    },
+  };
+  const log = (event: string, fields: EventFields = {}) =>
+    void fleet.events.push({ event, fields });
+  const host = PlatformHost.create({ settings, log });
+  await host.start();
+  fleet.hosts.push(host);
+  fleet.callers.push(`http://127.0.0.1:${caller}`);
+  await waitUntil(() => host.isReady());
+}
+
+function stopFleet(fleet: Fleet): void {
+  for (const host of fleet.hosts) host.close();
+  for (const executor of fleet.executors) executor.close();
+  fleet.store.close();
+}
+
+async function waitUntil(isSo: () => boolean | Promise<boolean>): Promise<void> {
+  while (!await isSo()) await new Promise((resolve) => setTimeout(resolve, 20));
+}
+
+interface Told {
+  status: number;
+  body: Record<string, unknown>;
+}
+
+async function call(
+  fleet: Fleet,
+  caller: number,
+  method: "GET" | "POST" | "DELETE",
+  path: string,
+  options: { body?: unknown; key?: string; host?: string } = {},
+): Promise<Told> {
+  const answer = await request(fleet.callers[caller]! + path, {
+    method,
+    headers: {
+      host: options.host ?? "berths.example",
+      "x-api-key": options.key ?? "a-key",
+      "deadline-ms": "3000",
+    },
+    body: options.body === undefined
+      ? null
+      : typeof options.body === "string"
+      ? options.body
+      : JSON.stringify(options.body),
+  });
+  const text = await answer.body.text();
+  return { status: answer.statusCode, body: JSON.parse(text || "{}") };
+}
+
+async function waitForState(fleet: Fleet, caller: number, id: string, state: string) {
+  await waitUntil(async () => {
+    const told = await call(fleet, caller, "GET", `/berths/${id}`);
+    return told.body["state"] === state;
+  });
+}
+
+test("a job goes its whole way through any host, and each wrong call gets its own answer", async (t) => {
+  const fleet = await startFleet(2);
+  const id = "00000000000000a1";
+  const submitted = await call(fleet, 1, "POST", `/berths/${id}`, { body: JOB });
+  const again = await call(fleet, 0, "POST", `/berths/${id}`, { body: JOB });
+  await waitForState(fleet, 0, id, "completed");
+  const answers = {
+    submitted: submitted.status,
+    again: again.status,
+    shown: await call(fleet, 1, "GET", `/berths/${id}`),
+    waiting: await call(fleet, 1, "GET", "/berths/"),
+    unknownJob: (await call(fleet, 0, "GET", "/berths/00000000000000ff")).status,
+    noQueue: await call(fleet, 1, "GET", "/tugs/00000000000000a1"),
+    noKey: await call(fleet, 1, "GET", `/berths/${id}`, { key: "another" }),
+    otherHost: (await call(fleet, 0, "GET", `/berths/${id}`, { host: "tugs.example" })).status,
+    malformed: await call(fleet, 0, "POST", "/berths/00000000000000a2", { body: "{" }),
+    wrongStep: await call(fleet, 0, "POST", "/berths/00000000000000a3", {
+      body: { taskSpec: "x", steps: [{ count: 1, after: [0] }] },
+    }),
+    tooLarge: (await call(fleet, 0, "POST", "/berths/00000000000000a4", {
+      body: { taskSpec: "x".repeat(300_000), steps: [] },
+    })).status,
+    cancelledAfter: (await call(fleet, 1, "DELETE", `/berths/${id}`)).status,
+    cancelUnknown: (await call(fleet, 1, "DELETE", "/berths/00000000000000fe")).status,
+  };
+  const starts = fleet.executors.flatMap((executor) => executor.starts).sort();
+  const garbage = fleet.events.find(({ event }) => event === "executor-entry-unreadable")?.fields;
+  stopFleet(fleet);
+  t.snapshot({ answers, starts, garbage });
+});
+
+test("a stopping owner hands over, and no accepted job is lost", async (t) => {
+  const fleet = await startFleet(2);
+  const owner = fleet.events.find(({ event }) => event === "owner-started") === undefined ? 1 : 0;
+  const id = "00000000000000b1";
+  const submitted = await call(fleet, owner, "POST", `/berths/${id}`, { body: JOB });
+  void fleet.hosts[owner]!.stop();
+  await waitForState(fleet, 1 - owner, id, "completed");
+  const owners = fleet.events.filter(({ event }) => event === "take-over-done")
+    .map(({ fields }) => [fields["epoch"], fields["handedOver"]]);
+  const starts = fleet.executors.flatMap((executor) => executor.starts).sort();
+  stopFleet(fleet);
+  t.snapshot({ submitted: submitted.status, owners, starts });
+});
+
+test("lost answers of the store store a job once, and a store that is away refuses at once", async (t) => {
+  const fleet = await startFleet(1);
+  let lost = 0;
+  fleet.store.chooseFault = (path) => {
+    if (!path.includes("keyed.journal") || !path.includes("append") || lost >= 1) {
+      return StoreFault.None;
+    }
+    lost += 1;
+    return StoreFault.LostAnswer;
+  };
+  const first = await call(fleet, 0, "POST", "/berths/00000000000000c1", { body: JOB });
+  await waitForState(fleet, 0, "00000000000000c1", "completed");
+  fleet.store.chooseFault = (path) =>
+    path.includes("keyed.journal") ? StoreFault.Busy : StoreFault.None;
+  const during = await call(fleet, 0, "POST", "/berths/00000000000000c2", { body: JOB });
+  const later = await call(fleet, 0, "POST", "/berths/00000000000000c3", { body: JOB });
+  fleet.store.chooseFault = () => StoreFault.None;
+  await waitForState(fleet, 0, "00000000000000c2", "completed");
+  const refused = await call(fleet, 0, "GET", "/berths/00000000000000c3");
+  stopFleet(fleet);
+  t.snapshot({
+    lost,
+    first: first.status,
+    during: during.status,
+    later,
+    refusedIsUnknown: refused.status,
+  });
+});
--- /dev/null
+++ b/src/platform/stand_in/executor_stand_in.ts
@@ -0,0 +1,158 @@
+/** A stand-in of an executor on loopback, around the model of its protocol. */
+
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { listen } from "../../links/listen.ts";
+import { OrderOutcome } from "../../owner/owner_ports.ts";
+import { parseJson } from "../store_client.ts";
+import { ExecutorModel, type RunPlan } from "./executor_model.ts";
+import { sendJson } from "./store_stand_in.ts";
+
+/** How often a waiting look checks for an end, in milliseconds. */
+const LOOK_CHECK_MILLISECONDS = 5;
+
+const REASON_BY_OUTCOME: Readonly<Record<string, string>> = {
+  [OrderOutcome.Fenced]: "fence",
+  [OrderOutcome.Old]: "old",
+  [OrderOutcome.Late]: "late",
+};
+
+interface Order {
+  task: string;
+  run: number;
+  taskSpec: string;
+  deadlineMs?: number;
+  fence: number;
+  lastSeen?: number;
+  waitMs?: number;
+}
+
+/** Options of an `ExecutorStandIn`. */
+export interface ExecutorStandInOptions {
+  /** The id. */
+  id: string;
+  /** The service. */
+  service: string;
+  /** The availability zone. */
+  zone: string;
+  /** Decides how a run goes. */
+  planRun: (task: string, run: number) => RunPlan;
+}
+
+/** One executor. */
+export class ExecutorStandIn {
+  /** The executor's id. */
+  readonly id: string;
+  /** The starts that were carried out, as task and run. */
+  readonly starts: string[] = [];
+  readonly #options: ExecutorStandInOptions;
+  readonly #server: Server;
+  readonly #model: ExecutorModel;
+  readonly #born = Date.now();
+  #ends = 0;
+
+  private constructor(options: ExecutorStandInOptions) {
+    this.id = options.id;
+    this.#options = options;
+    this.#server = createServer((request, response) => void this.#handle(request, response));
+    this.#model = ExecutorModel.create({
+      capacity: CAPACITY,
+      born: this.#born,
+      startedAt: performance.now(),
+      stopMilliseconds: 20,
+      startupMilliseconds: 20,
+      planRun: options.planRun,
+      onStart: (run) => this.starts.push(run.task),
+      onEnd: () => this.#ends += 1,
+    });
+  }
+
+  /** Creates an executor; `listen` opens its socket. */
+  static create(options: ExecutorStandInOptions): ExecutorStandIn {
+    return new ExecutorStandIn(options);
+  }
+
+  /** Listens on a free port of loopback, and gets the entry that it writes to the store. */
+  async listen(): Promise<Record<string, unknown>> {
+    const addr = await listen(this.#server, { host: "127.0.0.1", port: 0 });
+    const { service, zone } = this.#options;
+    return {
+      service,
+      addr,
+      zone,
+      version: "v1",
+      slots: 8,
+      state: "ready",
+      capacity: { cpu: CAPACITY.cpu, memMb: CAPACITY.memory, gpu: 0 },
+      labels: ["a", "r1"],
+      born: this.#born,
+      seq: 1,
+    };
+  }
+
+  /** Closes the socket. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const order = parseJson(Buffer.concat(chunks)) as Order;
+    if (request.headers["expect-instance"] !== this.id) return sendJson(response, 421, {});
+    const now = performance.now();
+    switch (request.url) {
+      case "/-/run-start":
+        return this.#answer(
+          response,
+          this.#model.start({ ...order, deadline: order.deadlineMs ?? 0 }, now),
+        );
+      case "/-/run-stop":
+        return this.#answer(response, this.#model.stop(order.task, order.run, order.fence, now));
+      case "/-/hold":
+        return await this.#look(response, order);
+      default:
+        return sendJson(response, 404, {});
+    }
+  }
+
+  async #look(response: ServerResponse, order: Order): Promise<void> {
+    const request = {
+      fence: order.fence,
+      acknowledged: order.lastSeen ?? 0,
+      deadline: order.deadlineMs ?? 0,
+    };
+    const until = performance.now() + (order.waitMs ?? 0);
+    const endsBefore = this.#ends;
+    let report = this.#model.look(request, performance.now());
+    while (
+      report !== undefined && report.ended.length === 0 && this.#ends === endsBefore &&
+      performance.now() < until
+    ) {
+      await new Promise((resolve) => setTimeout(resolve, LOOK_CHECK_MILLISECONDS));
+      report = this.#model.look(request, performance.now());
+    }
+    if (report === undefined) return this.#answer(response, OrderOutcome.Fenced);
+    sendJson(response, 200, {
+      clockMs: report.executorTime,
+      born: report.born,
+      running: report.running.map((row) => [
+        row.task,
+        row.run,
+        row.checkpoint,
+        row.percent,
+        row.usage,
+      ]),
+      ended: report.ended.map((row) => [row.number, row.task, row.run, row.end, row.checkpoint]),
+    });
+  }
+
+  #answer(response: ServerResponse, outcome: OrderOutcome): void {
+    const clockMs = this.#model.getClock(performance.now());
+    if (outcome === OrderOutcome.Done) return sendJson(response, 200, { clockMs });
+    sendJson(response, 409, { clockMs, reason: REASON_BY_OUTCOME[outcome] });
+  }
+}
+
+/** What a stand-in has in all. */
+const CAPACITY = { cpu: 8_000, memory: 16_000, accelerators: 0 };
--- /dev/null
+++ b/src/platform/stand_in/store_stand_in.ts
@@ -0,0 +1,267 @@
+/** A stand-in of the platform's store on loopback, with faults that tests order. */
+
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { listen } from "../../links/listen.ts";
+import { decodeKeyedRecord, encodeKeyedRecord, parseJson } from "../store_client.ts";
+
+const LENGTH_BYTES = 4;
+const OFFSET_BYTES = 8;
+/** How many of the last appends of a producer are answered again. */
+const REPEATED_APPENDS = 5;
+
+/** What the store does with the next calls, decided for each. */
+export const StoreFault = {
+  /** It serves them. */
+  None: "none",
+  /** It answers 503 and does nothing. */
+  Busy: "busy",
+  /** It resets the connection and does nothing. */
+  Reset: "reset",
+  /** It does what is asked, and the answer is lost. */
+  LostAnswer: "lost-answer",
+  /** It does nothing and does not answer. */
+  Silent: "silent",
+} as const;
+export type StoreFault = typeof StoreFault[keyof typeof StoreFault];
+
+interface Producer {
+  epoch: number;
+  sequence: number;
+  answers: Map<number, string>;
+}
+
+interface StoredPartition {
+  first: number;
+  records: Buffer[];
+  producers: Map<string, Producer>;
+  waiting: Set<() => void>;
+}
+
+/** Options of a `StoreStandIn`. */
+export interface StoreStandInOptions {
+  /** Decides what happens to a call, by its path with the query. */
+  chooseFault?: (path: string) => StoreFault;
+}
+
+/** The store, in memory. */
+export class StoreStandIn {
+  /** Decides what happens to a call, by its path with the query. */
+  chooseFault: (path: string) => StoreFault;
+  /** The calls by path. */
+  readonly calls: Record<string, number> = {};
+  readonly #partitions = new Map<string, StoredPartition>();
+  /** The newest value of each key whose record was forgotten. */
+  readonly #kept = new Map<StoredPartition, Buffer[]>();
+  readonly #server: Server;
+
+  private constructor(options: StoreStandInOptions) {
+    this.chooseFault = options.chooseFault ?? (() => StoreFault.None);
+    this.#server = createServer((request, response) => void this.#handle(request, response));
+  }
+
+  /** Creates a store without records; `listen` opens its socket. */
+  static create(options: StoreStandInOptions = {}): StoreStandIn {
+    return new StoreStandIn(options);
+  }
+
+  /** Listens on a free port of loopback, and gets the address. */
+  listen(): Promise<string> {
+    return listen(this.#server, { host: "127.0.0.1", port: 0 });
+  }
+
+  /** Closes the socket. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Writes a keyed value, as operators and executors do. */
+  put(topic: string, key: string, value: unknown): void {
+    const text = value === undefined ? undefined : Buffer.from(JSON.stringify(value));
+    this.putBytes(topic, encodeKeyedRecord(key, text));
+  }
+
+  /** Writes any record. */
+  putBytes(topic: string, record: Buffer): void {
+    const partition = this.#getPartition(topic, 0);
+    partition.records.push(record);
+    for (const wake of partition.waiting) wake();
+  }
+
+  /** Forgets the history before the newest records; the newest value of each key stays. */
+  compact(topic: string): void {
+    const partition = this.#getPartition(topic, 0);
+    const newest = [...this.#getNewest(partition)].map(([key, { value }]) =>
+      encodeKeyedRecord(key, value)
+    );
+    partition.first += partition.records.length;
+    partition.records = [];
+    this.#kept.set(partition, newest);
+  }
+
+  /** Gets the newest values of a keyed topic, decoded from JSON. */
+  getValues(topic: string): Record<string, unknown> {
+    const newest = this.#getNewest(this.#getPartition(topic, 0));
+    return Object.fromEntries([...newest].map(([key, { value }]) => [key, parseJson(value)]));
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = request.url ?? "/";
+    const url = new URL(path, "http://store");
+    this.calls[url.pathname] = (this.calls[url.pathname] ?? 0) + 1;
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const fault = this.chooseFault(path);
+    if (fault === StoreFault.Busy) return sendJson(response, 503, {});
+    if (fault === StoreFault.Reset) return void response.socket?.resetAndDestroy();
+    if (fault === StoreFault.Silent) return;
+    const answer = await this.#serve(url, Buffer.concat(chunks), request);
+    if (fault === StoreFault.LostAnswer) return;
+    response.statusCode = answer.status;
+    response.end(answer.body);
+  }
+
+  async #serve(url: URL, body: Buffer, request: IncomingMessage) {
+    const query = url.searchParams;
+    const partition = this.#getPartition(query.get("topic") ?? "", Number(query.get("part")));
+    switch (url.pathname) {
+      case "/-/log-append":
+        return this.#append(partition, query, body);
+      case "/-/log-read":
+        return await this.#read(partition, query, request);
+      case "/-/log-newest":
+        return this.#readNewest(partition, query);
+      default:
+        return { status: 404, body: "{}" };
+    }
+  }
+
+  #append(partition: StoredPartition, query: URLSearchParams, body: Buffer) {
+    const end = getEnd(partition);
+    const name = query.get("producer");
+    const epoch = Number(query.get("epoch"));
+    const sequence = Number(query.get("seq"));
+    let producer: Producer | undefined;
+    if (name !== null) {
+      producer = partition.producers.get(name) ?? { epoch: -1, sequence: 0, answers: new Map() };
+      if (epoch < producer.epoch) return json(409, { reason: "fenced" });
+      if (epoch > producer.epoch) producer = { epoch, sequence: sequence - 1, answers: new Map() };
+      const repeated = producer.answers.get(sequence);
+      if (repeated !== undefined) return { status: 200, body: repeated };
+      if (sequence !== producer.sequence + 1) {
+        return json(409, { reason: "seq", expected: producer.sequence + 1 });
+      }
+    }
+    const at = query.get("at");
+    if (at !== null && Number(at) !== end) return json(412, { end });
+    const records = unframe(body);
+    partition.records.push(...records);
+    const answer = json(200, { offset: end, end: end + records.length });
+    if (producer !== undefined && name !== null) {
+      producer.sequence = sequence;
+      producer.answers.set(sequence, answer.body);
+      producer.answers.delete(sequence - REPEATED_APPENDS);
+      partition.producers.set(name, producer);
+    }
+    for (const wake of partition.waiting) wake();
+    return answer;
+  }
+
+  async #read(partition: StoredPartition, query: URLSearchParams, request: IncomingMessage) {
+    const from = Number(query.get("from"));
+    if (from < partition.first) return json(410, { first: partition.first });
+    const waitMilliseconds = Number(query.get("waitMs") ?? 0);
+    if (from >= getEnd(partition) && waitMilliseconds > 0) {
+      await waitForRecord(partition, waitMilliseconds, request);
+    }
+    const head = Buffer.alloc(2 * OFFSET_BYTES);
+    head.writeBigUInt64BE(BigInt(getEnd(partition)), 0);
+    head.writeBigUInt64BE(BigInt(partition.first), OFFSET_BYTES);
+    const records = partition.records.slice(from - partition.first).flatMap((record) => {
+      const length = Buffer.alloc(LENGTH_BYTES);
+      length.writeUInt32BE(record.length);
+      return [length, record];
+    });
+    return { status: 200, body: Buffer.concat([head, ...records]) };
+  }
+
+  #readNewest(partition: StoredPartition, query: URLSearchParams) {
+    const after = query.get("after") ?? "";
+    const pageLength = 500;
+    const keys = [...this.#getNewest(partition).entries()]
+      .filter(([key]) => key > after)
+      .sort(([first], [second]) => (first < second ? -1 : 1));
+    const items = keys.slice(0, pageLength).map(([key, { value, offset }]) => ({
+      key,
+      value: value.toString("base64"),
+      offset,
+    }));
+    return json(200, { items, hasMore: keys.length > pageLength, end: getEnd(partition) });
+  }
+
+  #getNewest(partition: StoredPartition): Map<string, { value: Buffer; offset: number }> {
+    const newest = new Map<string, { value: Buffer; offset: number }>();
+    const records = [...(this.#kept.get(partition) ?? []), ...partition.records];
+    records.forEach((record, index) => {
+      const decoded = decodeKeyedRecord(record);
+      if (decoded === undefined) return;
+      if (decoded.value.length === 0) newest.delete(decoded.key);
+      else newest.set(decoded.key, { value: decoded.value, offset: index });
+    });
+    return newest;
+  }
+
+  #getPartition(topic: string, part: number): StoredPartition {
+    const name = `${topic}/${part}`;
+    let partition = this.#partitions.get(name);
+    if (partition === undefined) {
+      partition = { first: 0, records: [], producers: new Map(), waiting: new Set() };
+      this.#partitions.set(name, partition);
+    }
+    return partition;
+  }
+}
+
+function getEnd(partition: StoredPartition): number {
+  return partition.first + partition.records.length;
+}
+
+function waitForRecord(
+  partition: StoredPartition,
+  milliseconds: number,
+  request: IncomingMessage,
+): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = () => {
+      clearTimeout(timer);
+      partition.waiting.delete(finish);
+      request.socket.off("close", finish);
+      resolve();
+    };
+    const timer = setTimeout(finish, milliseconds);
+    partition.waiting.add(finish);
+    request.socket.once("close", finish);
+  });
+}
+
+function unframe(body: Buffer): Buffer[] {
+  const records: Buffer[] = [];
+  let position = 0;
+  while (position + LENGTH_BYTES <= body.length) {
+    const length = body.readUInt32BE(position);
+    records.push(body.subarray(position + LENGTH_BYTES, position + LENGTH_BYTES + length));
+    position += LENGTH_BYTES + length;
+  }
+  return records;
+}
+
+function json(status: number, body: unknown) {
+  return { status, body: JSON.stringify(body) };
+}
+
+/** Answers a call with JSON. */
+export function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  response.statusCode = status;
+  response.setHeader("content-type", "application/json");
+  response.end(JSON.stringify(body));
+}
