--- a/src/ownership/ownership_task.ts
+++ b/src/ownership/ownership_task.ts
@@ -75,8 +75,9 @@
   readonly #timer: NodeJS.Timeout;
   #claim: Claim | undefined;
   #end: number | undefined;
-  /** When the claim was last renewed, on the steady clock; minus infinity once its holder has ended. */
   #seenAt: number;
+  /** The last holder whose process is known to have ended. */
+  #endedHolder: string | undefined;
   #freshAt = -Infinity;
   #confirmedAt = -Infinity;
   #renewedAt = -Infinity;
@@ -111,8 +112,8 @@
         this.#isReleasing = true;
         return this.#tick();
       case "holder-ended":
-        if (this.#claim?.holder === message.holder) this.#seenAt = -Infinity;
-        return;
+        this.#endedHolder = message.holder;
+        return this.#tick();
     }
   }
 
@@ -152,7 +153,7 @@
     }
     const isFromEarlierLife = claim?.hostName === this.#options.hostName &&
       claim.holder !== this.#options.holder;
-    if (isFromEarlierLife) this.#seenAt = -Infinity;
+    if (isFromEarlierLife) this.#endedHolder = claim.holder;
     if (isOther) this.#confirmedAt = -Infinity;
     this.#claim = claim;
     if (this.#isMine()) this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
@@ -177,8 +178,8 @@
     const isHeld = this.#claim !== undefined && !this.#claim.isReleased;
     const silence = isHeld ? TAKE_OVER_MILLISECONDS : 0;
     const epoch = (this.#claim?.epoch ?? 0) + 1;
-    // A holder that is known to have ended has nothing to be waited for.
-    if (this.#seenAt === -Infinity) return true;
+    // A holder that has ended renews nothing, whatever of it is still read.
+    if (isHeld && this.#claim!.holder === this.#endedHolder) return true;
     return getSteady() - this.#seenAt >= silence + getDelay(epoch);
   }
 
--- /dev/null
+++ b/src/ownership/ownership_task_test.ts
@@ -0,0 +1,135 @@
+import test from "ava";
+import fakeTimers from "@sinonjs/fake-timers";
+import { ElapsedClock } from "../tasks/mod.ts";
+import type { Claim, ClaimAppendResult } from "./ownership_ports.ts";
+import { OwnershipTask, type OwnershipView } from "./ownership_task.ts";
+
+/** The claims' topic, shared by hosts that each read it a little later than it is written. */
+class ClaimLog {
+  claims: Claim[] = [];
+  /** The hosts that the store turns away. */
+  readonly blind = new Set<string>();
+
+  append(host: string, claim: Claim, at: number): ClaimAppendResult {
+    if (this.blind.has(host)) return { outcome: "failed" };
+    if (at !== this.claims.length) return { outcome: "lost" };
+    this.claims.push(claim);
+    return { outcome: "done", end: this.claims.length };
+  }
+}
+
+interface TestHost {
+  name: string;
+  task: OwnershipTask;
+  views: OwnershipView[];
+}
+
+interface Harness {
+  clock: ReturnType<typeof fakeTimers.install>;
+  log: ClaimLog;
+  hosts: TestHost[];
+  /** Lets time pass, while each host reads the claims every 100 ms. */
+  pass: (milliseconds: number) => Promise<void>;
+}
+
+function createHarness(names: string[]): Harness {
+  const clock = fakeTimers.install({
+    toFake: ["setInterval", "clearInterval", "setTimeout", "clearTimeout", "Date", "performance"],
+  });
+  const log = new ClaimLog();
+  const elapsed = ElapsedClock.create();
+  const hosts = names.map((name, index): TestHost => {
+    const views: OwnershipView[] = [];
+    const task = OwnershipTask.create({
+      holder: `${name}-1`,
+      hostName: name,
+      address: `10.0.0.${index + 1}:7000`,
+      getDelay: () => index * 100,
+      appendClaim: (claim, at) => Promise.resolve(log.append(name, claim, at)),
+      notify: (view) => views.push(view),
+      clock: elapsed,
+      getSteady: () => performance.now(),
+      log: () => {},
+    });
+    task.post({ kind: "enable" });
+    return { name, task, views };
+  });
+  const read = () => {
+    for (const { name, task } of hosts) {
+      if (log.blind.has(name)) continue;
+      const news = {
+        claim: log.claims.at(-1),
+        end: log.claims.length,
+        freshAt: elapsed.getElapsed(),
+      };
+      task.post({ kind: "news", news });
+    }
+  };
+  const pass = async (milliseconds: number) => {
+    for (let passed = 0; passed < milliseconds; passed += 50) {
+      if (passed % 100 === 0) read();
+      await clock.tickAsync(50);
+    }
+  };
+  return { clock, log, hosts, pass };
+}
+
+function getOwners({ hosts }: Harness): string[] {
+  return hosts.filter(({ views }) => views.at(-1)?.isMine).map(({ name }) => name);
+}
+
+function getEpochs({ log }: Harness): [number, string][] {
+  const epochs = new Map(log.claims.map((claim) => [claim.epoch, claim.hostName]));
+  return [...epochs];
+}
+
+async function play(act: (harness: Harness) => Promise<unknown>): Promise<unknown> {
+  const harness = createHarness(["front-a", "front-b", "front-c"]);
+  try {
+    return await act(harness);
+  } finally {
+    for (const { task } of harness.hosts) task.stop();
+    harness.clock.uninstall();
+  }
+}
+
+test.serial("one host claims, renews, and another follows when it falls silent", async (t) => {
+  const told = await play(async (harness) => {
+    await harness.pass(1_000);
+    const first = getOwners(harness);
+    harness.log.blind.add("front-a");
+    await harness.pass(900);
+    const beforeSilence = getOwners(harness);
+    await harness.pass(1_000);
+    const after = getEpochs(harness);
+    harness.log.blind.delete("front-a");
+    await harness.pass(300);
+    return { first, beforeSilence, after, atLast: getOwners(harness) };
+  });
+  t.snapshot(told);
+});
+
+test.serial("a released claim is taken over at once, and its holder makes no other", async (t) => {
+  const told = await play(async (harness) => {
+    await harness.pass(1_000);
+    harness.hosts[0]!.task.post({ kind: "release" });
+    await harness.pass(400);
+    const soon = getEpochs(harness);
+    harness.hosts[1]!.task.post({ kind: "release" });
+    harness.hosts[2]!.task.post({ kind: "release" });
+    await harness.pass(3_000);
+    return { soon, atLast: getEpochs(harness), owners: getOwners(harness) };
+  });
+  t.snapshot(told);
+});
+
+test.serial("a holder whose process has ended is not waited for", async (t) => {
+  const told = await play(async (harness) => {
+    await harness.pass(1_000);
+    harness.log.blind.add("front-a");
+    harness.hosts[1]!.task.post({ kind: "holder-ended", holder: "front-a-1" });
+    await harness.pass(200);
+    return getEpochs(harness);
+  });
+  t.snapshot(told);
+});
