--- a/src/commands/command_line.ts
+++ b/src/commands/command_line.ts
@@ -4,6 +4,7 @@
 import { BudgetListCommand, BudgetSetCommand } from "./budget_commands.ts";
 import { DemoCommand } from "./demo_command.ts";
 import { EntryCommand } from "./entry_command.ts";
+import { ExplainCommand } from "./explain_command.ts";
 import { HostEnrolCommand, HostListCommand } from "./host_commands.ts";
 import {
   HostDismissCommand,
@@ -46,6 +47,7 @@
   DemoCommand,
   EntryCommand,
   ExecutorStandInCommand,
+  ExplainCommand,
   HostDismissCommand,
   HostDrainCommand,
   HostEnrolCommand,
--- a/src/platform/platform_host_test.ts
+++ b/src/platform/platform_host_test.ts
@@ -186,6 +186,9 @@
   const id = "00000000000000b1";
   const submitted = await call(fleet, owner, "POST", `/berths/${id}`, { body: JOB });
   void fleet.hosts[owner]!.stop();
+  const isTakenOver = () =>
+    fleet.events.some(({ event, fields }) => event === "take-over-done" && fields["epoch"] === 2);
+  await waitUntil(isTakenOver);
   await waitForState(fleet, 1 - owner, id, "completed");
   const owners = fleet.events.filter(({ event }) => event === "take-over-done")
     .map(({ fields }) => [fields["epoch"], fields["handedOver"]]);
