Record orders for hosts, so a new owner waits for those hosts only

Cause: after a take-over no host could be moved or maintained for 5 s, also those that the earlier owner never ordered (incident of Richards Bay: 2 of 18 hosts left at 26.000 s, the pool in its turn kept its size from 17.7 to 22.7 s).

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -49,6 +49,8 @@
   strayCount = 0;
   /** Whether it is being emptied for a planned action. */
   isClosed = false;
+  /** Whether it is to be emptied later. */
+  isDue = false;
   /** Whether a look is on its way. */
   isLooking = false;
   /** When the last look ended, on the steady clock. */
--- a/src/owner/capacity.ts
+++ b/src/owner/capacity.ts
@@ -13,10 +13,12 @@
 const KEEP_MILLISECONDS = 1_800;
 /** How long a host may take to become empty before it stays, in milliseconds. */
 const EMPTYING_MILLISECONDS = 4_000;
+/** How long the record of an order may take to be stored before the order is dropped, in milliseconds. */
+const ORDER_MILLISECONDS = 1_500;
 /** How long an order without an answer may still be carried out, in milliseconds. */
 const LATE_ORDER_MILLISECONDS = 13_000;
 /** How long a new owner leaves the sizes of pools as they are, in milliseconds. */
-const SETTLE_MILLISECONDS = 5_000;
+const SETTLE_MILLISECONDS = 1_500;
 /** How often sizes are decided, in milliseconds. */
 const DECIDE_MILLISECONDS = 100;
 /** How long a new executor may take to be listed after a move, in milliseconds. */
@@ -57,8 +59,6 @@
   terms: CapacityTerms;
   /** Ends an executor whose host has been taken away. */
   endExecutor: (executor: Executor, reason: string) => void;
-  /** From when on this owner may order, on the steady clock. */
-  mayOrderFrom: number;
 }
 
 /** The decisions about the sizes of pools. */
@@ -85,10 +85,8 @@
 
   /** Takes the next steps. */
   tick(): void {
-    const { state, hosts, mayOrderFrom } = this.#options;
-    if (!state.mayStart || hosts.getListedAt() < state.startedAt || state.now < mayOrderFrom) {
-      return;
-    }
+    const { state, hosts } = this.#options;
+    if (!state.mayStart || hosts.getListedAt() < state.startedAt) return;
     if (state.now < state.startedAt + SETTLE_MILLISECONDS) return;
     for (const transfer of this.#transfers.values()) this.#advance(transfer);
     if (state.now - this.#decidedAt < DECIDE_MILLISECONDS) return;
@@ -140,11 +138,17 @@
   }
 
   #order(transfer: Transfer): void {
-    const { state } = this.#options;
+    const { state, hosts } = this.#options;
     transfer.stage = Stage.Ordered;
     transfer.since = state.now;
-    state.log("host-moved", { host: transfer.host, from: transfer.from, to: transfer.to });
-    state.ports.move({ host: transfer.host, pool: transfer.to, fence: state.fence });
+    const { host, from, to } = transfer;
+    state.ports.write([hosts.createOrderEntry(host)], () => {
+      if (!state.mayStart || state.now - transfer.since > ORDER_MILLISECONDS) {
+        return this.#end(transfer);
+      }
+      state.log("host-moved", { host, from, to });
+      state.ports.move({ host, pool: to, fence: state.fence });
+    });
   }
 
   #endExecutor(transfer: Transfer): void {
@@ -215,7 +219,7 @@
       const size = sizes.get(transfer?.to ?? host.pool);
       if (size === undefined) continue;
       if (transfer !== undefined) size.incoming += 1;
-      else if (hosts.isUp(host) && this.#isFree(host)) size.hosts.push(host);
+      else if (hosts.isUp(host) && !hosts.isReserved(host)) size.hosts.push(host);
     }
     return [...sizes.values()];
   }
@@ -225,12 +229,19 @@
     const { state, terms } = this.#options;
     const load = this.#getLoad(service);
     const need = getHostsNeeded(load, terms);
-    const peak = this.#peaks.get(service);
-    const isOver = peak === undefined || need >= peak.need ||
-      state.now - peak.at > KEEP_MILLISECONDS;
-    if (isOver) this.#peaks.set(service, { need, at: state.now });
-    if (isOver && need !== peak?.need) this.#logNeed(service, need, load);
-    return this.#peaks.get(service)!.need;
+    const peak = this.#peaks.get(service) ?? this.#getFirstPeak(service);
+    const isOver = need >= peak.need || state.now - peak.at > KEEP_MILLISECONDS;
+    const chosen = isOver ? { need, at: state.now } : peak;
+    this.#peaks.set(service, chosen);
+    if (isOver && need !== peak.need) this.#logNeed(service, need, load);
+    return chosen.need;
+  }
+
+  /** A new owner does not know what arrived of late, and keeps the sizes for a while. */
+  #getFirstPeak(service: string): { need: number; at: number } {
+    const { state, hosts } = this.#options;
+    const inPool = [...hosts.getHosts().values()].filter(({ pool }) => pool === service);
+    return { need: inPool.length, at: state.now };
   }
 
   #logNeed(service: string, need: number, load: PoolLoad): void {
@@ -307,14 +318,16 @@
     const { hosts, maintenance } = this.#options;
     const getRank = (host: Host) =>
       hosts.getBurden(host) - (maintenance.isDue(host.name) ? DUE_CREDIT : 0);
-    const [host] = [...size.hosts].sort((first, second) => getRank(first) - getRank(second));
+    const [host] = size.hosts.filter((candidate) => this.#isFree(candidate))
+      .sort((first, second) => getRank(first) - getRank(second));
     if (host === undefined) return undefined;
     size.hosts.splice(size.hosts.indexOf(host), 1);
     return host;
   }
 
   #isFree(host: Host): boolean {
-    return !this.#options.hosts.isReserved(host);
+    const { hosts } = this.#options;
+    return !hosts.isReserved(host) && hosts.mayOrder(host.name);
   }
 
   #isSpare(service: string): boolean {
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -54,7 +54,7 @@
   stored: readonly (readonly [string, Uint8Array])[];
   /** How the sizes of pools follow their load. */
   capacityTerms: CapacityTerms;
-  /** How long this owner waits before its first order to a host, in milliseconds. */
+  /** How long hosts are left alone that an earlier owner ordered, in milliseconds. */
   hostOrderDelayMilliseconds: number;
   /** How long a host is away for maintenance, in milliseconds. */
   maintenanceMilliseconds: number;
@@ -111,12 +111,16 @@
       rankExecutor: rankLeastLoaded,
       getTicket: (step, executor) => this.#advice.getTicket(step, executor),
     });
-    this.#hosts = HostControl.create(this.#state, this.#runs);
+    this.#hosts = HostControl.create({
+      state: this.#state,
+      runs: this.#runs,
+      orderDelayMilliseconds: options.hostOrderDelayMilliseconds,
+      stored: options.stored,
+    });
     this.#maintenance = Maintenance.create({
       state: this.#state,
       hosts: this.#hosts,
       endExecutor: (executor, reason) => this.#looks.endExecutor(executor, reason),
-      mayOrderFrom: options.startedAt + options.hostOrderDelayMilliseconds,
       awayMilliseconds: options.maintenanceMilliseconds,
       stored: options.stored,
     });
@@ -126,7 +130,6 @@
       maintenance: this.#maintenance,
       endExecutor: (executor, reason) => this.#looks.endExecutor(executor, reason),
       terms: options.capacityTerms,
-      mayOrderFrom: options.startedAt + options.hostOrderDelayMilliseconds,
     });
     this.#doubtUntil = options.startedAt + options.doubtMilliseconds;
     for (const job of options.jobs) this.#desk.restore(job);
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -1,11 +1,32 @@
 /** Empties hosts for planned actions, and knows which are where. */
 
+import { Decoder, Encoder } from "cbor-x";
 import type { Executor } from "../fleet/executor.ts";
 import { type Host, HostState } from "../fleet/host.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { mayBeStopped } from "./lasting_budget.ts";
+import type { JournalEntry } from "./owner_ports.ts";
 import type { RunControl } from "./run_control.ts";
 
+const ORDER_PREFIX = "host-order/";
+/** How old an order may be to count as recent, in milliseconds: the clocks of hosts differ by seconds. */
+const RECENT_MILLISECONDS = 20_000;
+
+const encoder = new Encoder({ useRecords: false });
+const decoder = new Decoder({ useRecords: false });
+
+/** Options of a `HostControl`. */
+export interface HostControlOptions {
+  /** The state. */
+  state: FleetState;
+  /** The decisions about runs. */
+  runs: RunControl;
+  /** How long hosts are left alone that an earlier owner ordered, in milliseconds. */
+  orderDelayMilliseconds: number;
+  /** What earlier owners stored, by key. */
+  stored: Iterable<readonly [string, Uint8Array]>;
+}
+
 /** The decisions about single hosts. */
 export class HostControl {
   readonly #state: FleetState;
@@ -15,14 +36,40 @@
   /** The hosts that a planned action has for itself, with what it is. */
   readonly #reserved = new Map<string, string>();
 
-  private constructor(state: FleetState, runs: RunControl) {
-    this.#state = state;
-    this.#runs = runs;
+  /** The hosts that an earlier owner ordered a short while ago. */
+  readonly #orderedBefore = new Set<string>();
+  readonly #mayOrderThemFrom: number;
+
+  private constructor(options: HostControlOptions) {
+    this.#state = options.state;
+    this.#runs = options.runs;
+    this.#mayOrderThemFrom = options.state.now + options.orderDelayMilliseconds;
+    for (const [key, value] of options.stored) {
+      if (!key.startsWith(ORDER_PREFIX)) continue;
+      const { at } = decoder.decode(value) as { at: number };
+      const age = Math.abs(options.state.timeOfDay - at);
+      if (age < RECENT_MILLISECONDS) this.#orderedBefore.add(key.slice(ORDER_PREFIX.length));
+    }
+  }
+
+  /** Creates the decisions from what earlier owners stored. */
+  static create(options: HostControlOptions): HostControl {
+    return new HostControl(options);
   }
 
-  /** Creates the decisions on a state. */
-  static create(state: FleetState, runs: RunControl): HostControl {
-    return new HostControl(state, runs);
+  /** Gets whether a host may be ordered: not soon after an earlier owner ordered the same one. */
+  mayOrder(name: string): boolean {
+    return this.#state.now >= this.#mayOrderThemFrom || !this.#orderedBefore.has(name);
+  }
+
+  /**
+   * Gets the entry that must be stored right before each order for a host.
+   *
+   * A later owner has fenced the journal before it reads it, so it knows of every host that an
+   * earlier one may still order, and leaves those alone for a while.
+   */
+  createOrderEntry(name: string): JournalEntry {
+    return { key: ORDER_PREFIX + name, value: encoder.encode({ at: this.#state.timeOfDay }) };
   }
 
   /** Sets the provider's list. */
@@ -73,6 +120,12 @@
     this.#state.needsDispatch = true;
   }
 
+  /** Marks a host that is to be emptied later, so that lasting tasks rather go elsewhere. */
+  markDue(host: Host): void {
+    const executor = this.getExecutor(host);
+    if (executor !== undefined) executor.isDue = true;
+  }
+
   /** Lets nothing more start on a host, and stops the lasting tasks there as their budgets allow. */
   empty(host: Host): void {
     const executor = this.getExecutor(host);
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -62,8 +62,6 @@
   hosts: HostControl;
   /** Ends an executor whose host has been taken away. */
   endExecutor: (executor: Executor, reason: string) => void;
-  /** From when on this owner may order, on the steady clock. */
-  mayOrderFrom: number;
   /** How long a host is away, in milliseconds. */
   awayMilliseconds: number;
   /** What earlier owners stored of waves. */
@@ -170,7 +168,11 @@
     const waiting = [...progress.places.values()].filter(({ stage }) => stage === Stage.Waiting);
     const known = waiting.map((place) => hosts.getHosts().get(place.name))
       .filter((host) => host !== undefined);
+    for (const host of known) hosts.markDue(host);
     known.sort((first, second) => hosts.getBurden(first) - hosts.getBurden(second));
+    // The most burdened host is begun along with the least: its lasting tasks move one by one.
+    const hardest = known.pop();
+    if (hardest !== undefined) known.splice(1, 0, hardest);
     const width = this.#getWidth(progress, waiting.length + open);
     for (const host of known.slice(0, Math.max(0, width - open))) {
       if (!hosts.isUp(host) || !hosts.reserve(host, "maintenance")) continue;
@@ -196,7 +198,7 @@
   }
 
   #advancePlace(progress: WaveProgress, place: Place): void {
-    const { state, hosts, mayOrderFrom, awayMilliseconds } = this.#options;
+    const { state, hosts, awayMilliseconds } = this.#options;
     const host = hosts.getHosts().get(place.name);
     switch (place.stage) {
       case Stage.Waiting:
@@ -209,13 +211,13 @@
         }
         hosts.empty(host);
         if (state.now - place.since > PATIENCE_MILLISECONDS) hosts.clear(host);
-        if (!hosts.isEmpty(host) || state.now < mayOrderFrom) return;
+        if (!hosts.isEmpty(host) || !hosts.mayOrder(host.name)) return;
         place.executorId = host.executorId;
         return this.#order(progress, place);
       case Stage.Storing:
         return;
       case Stage.Ordered:
-        if (place.retryAt !== 0 && state.now >= place.retryAt) this.#send(progress, place);
+        if (place.retryAt !== 0 && state.now >= place.retryAt) this.#order(progress, place);
         return;
       case Stage.Away: {
         const isBack = host === undefined ||
@@ -230,8 +232,10 @@
 
   /** Stores that a host is ordered, then orders it. */
   #order(progress: WaveProgress, place: Place): void {
+    const { state, hosts } = this.#options;
     this.#setStage(place, Stage.Storing);
-    this.#options.state.ports.write([this.#createEntry(progress)], () => {
+    const entries = [this.#createEntry(progress), hosts.createOrderEntry(place.name)];
+    state.ports.write(entries, () => {
       if (place.stage !== Stage.Storing) return;
       this.#setStage(place, Stage.Ordered);
       this.#send(progress, place);
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -52,6 +52,8 @@
   return best;
 }
 
+/** What an executor that is to be emptied ranks behind, for tasks that would have to move again. */
+const DUE_RANK = 2;
 /** What an executor off the wanted rack, or one where the task failed, ranks behind. */
 const AVOIDED_RANK = 1_000;
 
@@ -77,6 +79,7 @@
   const { rack } = task.step.specification;
   const isFar = rack !== undefined && !executor.entry.labels.includes(rack);
   const isDoubtful = executor.failureScore >= 1 || task.lastFailedOn === executor.id;
-  return (isFar ? AVOIDED_RANK : 0) +
+  const isDue = executor.isDue && task.step.specification.isLasting;
+  return (isDue ? DUE_RANK : 0) + (isFar ? AVOIDED_RANK : 0) +
     (isDoubtful ? AVOIDED_RANK * 2 * (1 + executor.failureScore) : 0);
 }
