Count each failed run once, by its number

Ruled out: the attempt limit and a poisoned job (its log shows run 1052857 ending twice, before and after the take-over). Also: an answer of the store that can't be read is an outcome, and ends no process.

--- a/src/fleet/job.ts
+++ b/src/fleet/job.ts
@@ -45,8 +45,8 @@
   readonly index: number;
   /** What becomes of it next. */
   state: TaskState;
-  /** The runs that failed. */
-  failures: number;
+  /** The numbers of the runs that failed, so that an end that is listed again counts once. */
+  readonly failedRuns: Set<number>;
   /** The newest checkpoint, or empty. */
   checkpoint: string;
   /** The run, while the task is assigned. */
@@ -174,7 +174,7 @@
           step,
           index,
           state,
-          failures: 0,
+          failedRuns: new Set(),
           stalls: 0,
           checkpoint: "",
           awaySince: 0,
--- a/src/owner/job_records.ts
+++ b/src/owner/job_records.ts
@@ -18,8 +18,8 @@
   acceptedAt: number;
 }
 
-/** What is stored of one task: its index, failures and checkpoint. */
-type TaskRecord = [name: string, isDone: boolean, failures: number, checkpoint: string];
+/** What is stored of one task: the numbers of the runs that failed, and the newest checkpoint. */
+type TaskRecord = [name: string, isDone: boolean, failedRuns: number[], checkpoint: string];
 
 interface ProgressRecord {
   outcome?: JobState | undefined;
@@ -41,8 +41,9 @@
   if (job.outcome === undefined) {
     for (const task of job.getTasks()) {
       const isDone = task.state === TaskState.Done;
-      if (!isDone && task.failures === 0 && task.checkpoint === "") continue;
-      tasks.push([task.name, isDone, task.failures, isDone ? "" : task.checkpoint]);
+      if (!isDone && task.failedRuns.size === 0 && task.checkpoint === "") continue;
+      const failedRuns = isDone ? [] : [...task.failedRuns];
+      tasks.push([task.name, isDone, failedRuns, isDone ? "" : task.checkpoint]);
     }
   }
   const record: ProgressRecord = {
@@ -99,7 +100,7 @@
   job.isOutcomeStored = record.outcome !== undefined;
   job.endedAt = record.endedAt;
   for (const occurrence of record.doneOccurrences) job.doneOccurrences.add(occurrence);
-  for (const [name, isDone, failures, checkpoint] of record.tasks) {
+  for (const [name, isDone, failedRuns, checkpoint] of record.tasks) {
     const parts = parseTaskName(name);
     if (parts === undefined) continue;
     if (!job.occurrences.has(parts.occurrence)) {
@@ -108,7 +109,7 @@
     const task = job.getTask(parts.occurrence, parts.step, parts.index);
     if (task === undefined) continue;
     job.hasStarted = true;
-    task.failures = failures;
+    for (const run of failedRuns) task.failedRuns.add(run);
     task.checkpoint = checkpoint;
     if (!isDone) continue;
     task.state = TaskState.Done;
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -192,7 +192,7 @@
       }
       return this.#finish(task);
     }
-    if (row.end === RunEnd.Failed) this.#countFailure(task, executor);
+    if (row.end === RunEnd.Failed) this.#countFailure(task, executor, row.run);
     if (task.step.job.outcome !== undefined) return;
     if (isCurrent) this.#returnTask(task);
   }
@@ -285,17 +285,22 @@
     }
   }
 
-  #countFailure(task: JobTask, executor: Executor): void {
+  #countFailure(task: JobTask, executor: Executor, run: number): void {
     const state = this.#state;
     const { step } = task;
+    const counted = step.specification.isGang ? step.tasks[0]! : task;
+    if (counted.failedRuns.has(run)) return;
     countRunFailure(state, executor, task);
     if (step.specification.isLasting || step.job.outcome !== undefined) return;
-    const counted = step.specification.isGang ? step.tasks[0]! : task;
-    counted.failures += 1;
+    counted.failedRuns.add(run);
     state.changedJobs.add(step.job);
     const limit = state.getQueue(step.job.queue)?.attemptLimit ?? Infinity;
-    if (counted.failures >= limit) {
-      this.endJob(step.job, JobState.Failed, `task ${task.name} failed ${counted.failures} times`);
+    if (counted.failedRuns.size >= limit) {
+      this.endJob(
+        step.job,
+        JobState.Failed,
+        `task ${task.name} failed ${counted.failedRuns.size} times`,
+      );
     }
   }
 }
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -393,8 +393,21 @@
     }
   }
 
+  /** Checks that a job is shown as failed only if a task of it has failed as often as it may. */
+  #checkFailedJobs(): void {
+    const limit = this.#options.configuration.queues[0]!.attemptLimit;
+    for (const id of this.#jobs.keys()) {
+      if (this.#owner?.getJobState(id) !== "failed") continue;
+      const hasCause = [...this.#failures].some(([task, count]) =>
+        task.startsWith(`${id}.`) && count >= limit
+      );
+      if (!hasCause) this.#break("LOST", `${id} is shown as failed`);
+    }
+  }
+
   /** Checks what holds over all executors together. */
   #check(): void {
+    this.#checkFailedJobs();
     const byCustomer = new Map<string, Resources>();
     for (const [id, model] of this.#models) {
       const used = { cpu: 0, memory: 0, accelerators: 0 };
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -2,7 +2,7 @@
 
 import { z } from "zod";
 import { StepError } from "../errors/mod.ts";
-import { HttpLink, type LinkAnswer, NoAnswerError } from "./http_link.ts";
+import { HttpLink, type LinkAnswer, type LinkCall, NoAnswerError } from "./http_link.ts";
 
 /** The most connections to the store. */
 const STORE_CONNECTIONS = 12;
@@ -29,6 +29,14 @@
   producer?: { name: string; epoch: number; sequence: number };
 }
 
+/** Options of `read`. */
+export interface ReadOptions extends Partition {
+  /** The offset of the first record. */
+  from: number;
+  /** How long to wait for a record if there is none, in milliseconds. */
+  waitMilliseconds: number;
+}
+
 /** What became of an append. */
 export type AppendResult =
   | { outcome: "done"; offset: number; end: number }
@@ -99,7 +107,11 @@
   }
 
   /** Appends records, all or nothing. */
-  async append(options: AppendOptions): Promise<AppendResult> {
+  append(options: AppendOptions): Promise<AppendResult> {
+    return orUnanswered(() => this.#append(options));
+  }
+
+  async #append(options: AppendOptions): Promise<AppendResult> {
     const query = new URLSearchParams({ topic: options.topic, part: String(options.part) });
     if (options.at !== undefined) query.set("at", String(options.at));
     if (options.producer !== undefined) {
@@ -107,14 +119,13 @@
       query.set("epoch", String(options.producer.epoch));
       query.set("seq", String(options.producer.sequence));
     }
-    const answer = await this.#tryCall("append", {
+    const answer = await this.#call("append", {
       method: "POST",
       path: `/-/log-append?${query}`,
       headers: { "content-type": "application/octet-stream" },
       body: frameRecords(options.records),
       timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
     });
-    if ("outcome" in answer) return answer;
     switch (answer.status) {
       case 200:
         return { outcome: "done", ...this.#parse("append", appendedSchema, answer) };
@@ -131,16 +142,17 @@
   }
 
   /** Reads records from an offset, and waits for one if there is none. */
-  async read(
-    options: Partition & { from: number; waitMilliseconds: number },
-  ): Promise<ReadResult> {
+  read(options: ReadOptions): Promise<ReadResult> {
+    return orUnanswered(() => this.#read(options));
+  }
+
+  async #read(options: ReadOptions): Promise<ReadResult> {
     const { topic, part, from, waitMilliseconds } = options;
-    const answer = await this.#tryCall("read", {
+    const answer = await this.#call("read", {
       method: "GET",
       path: `/-/log-read?topic=${topic}&part=${part}&from=${from}&waitMs=${waitMilliseconds}`,
       timeoutMilliseconds: waitMilliseconds + STORE_TIMEOUT_MILLISECONDS,
     });
-    if ("outcome" in answer) return answer;
     if (answer.status === 410) {
       return { outcome: "expired", ...this.#parse("read", expiredSchema, answer) };
     }
@@ -149,19 +161,22 @@
   }
 
   /** Reads the newest value of every key of a keyed topic. */
-  async readNewest(options: Partition): Promise<NewestResult> {
+  readNewest(options: Partition): Promise<NewestResult> {
+    return orUnanswered(() => this.#readNewest(options));
+  }
+
+  async #readNewest(options: Partition): Promise<NewestResult> {
     const values: KeyedValue[] = [];
     let end: number | undefined;
     let after: string | undefined;
     for (;;) {
       const query = new URLSearchParams({ topic: options.topic, part: String(options.part) });
       if (after !== undefined) query.set("after", after);
-      const answer = await this.#tryCall("read-newest", {
+      const answer = await this.#call("read-newest", {
         method: "GET",
         path: `/-/log-newest?${query}`,
         timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
       });
-      if ("outcome" in answer) return answer;
       if (answer.status !== 200) return { outcome: "refused", status: answer.status };
       const page = this.#parse("read-newest", newestSchema, answer);
       // Pages are no snapshot: records after the end of the first one are to be read again.
@@ -179,16 +194,8 @@
     this.#link.close();
   }
 
-  async #tryCall(
-    step: string,
-    call: Omit<Parameters<HttpLink["call"]>[0], "step">,
-  ): Promise<LinkAnswer | { outcome: "unanswered"; reason: string }> {
-    try {
-      return await this.#link.call({ step, ...call });
-    } catch (error) {
-      if (error instanceof NoAnswerError) return { outcome: "unanswered", reason: error.message };
-      throw error;
-    }
+  #call(step: string, call: Omit<LinkCall, "step">): Promise<LinkAnswer> {
+    return this.#link.call({ step, ...call });
   }
 
   #parse<Value>(step: string, schema: z.ZodType<Value>, answer: LinkAnswer): Value {
@@ -202,6 +209,20 @@
   }
 }
 
+/** Makes no answer, and one that can't be read, an outcome: either way nobody knows what was done. */
+async function orUnanswered<Result>(
+  act: () => Promise<Result>,
+): Promise<Result | { outcome: "unanswered"; reason: string }> {
+  try {
+    return await act();
+  } catch (error) {
+    if (error instanceof NoAnswerError || error instanceof StoreAnswerError) {
+      return { outcome: "unanswered", reason: error.message };
+    }
+    throw error;
+  }
+}
+
 /** Gets the bytes of a keyed record; no value drops the key. */
 export function encodeKeyedRecord(key: string, value: Uint8Array | undefined): Buffer {
   const keyBytes = Buffer.from(key);
