Find the owner in the hand-over's test by its host

Cause: 'a stopping owner hands over' stayed pending for 300 s once: the log of both hosts is one list, so the test stopped the first host also when the second one had claimed. Ruled out: a release that nobody follows (the claims' test covers it).

--- a/src/platform/platform_host_test.ts
+++ b/src/platform/platform_host_test.ts
@@ -39,7 +39,7 @@
   executors: ExecutorStandIn[];
   hosts: PlatformHost[];
   callers: string[];
-  events: { event: string; fields: EventFields }[];
+  events: { host: number; event: string; fields: EventFields }[];
 }
 
 async function getFreePort(): Promise<number> {
@@ -94,8 +94,9 @@
       maintenanceMilliseconds: 2_000,
     },
   };
-  const log = (event: string, fields: EventFields = {}) =>
-    void fleet.events.push({ event, fields });
+  const log = (event: string, fields: EventFields = {}) => {
+    fleet.events.push({ host: number - 1, event, fields });
+  };
   const host = PlatformHost.create({ settings, log });
   await host.start();
   fleet.hosts.push(host);
@@ -182,7 +183,9 @@
 
 test("a stopping owner hands over, and no accepted job is lost", async (t) => {
   const fleet = await startFleet(2);
-  const owner = fleet.events.find(({ event }) => event === "owner-started") === undefined ? 1 : 0;
+  const isOwned = () => fleet.events.some(({ event }) => event === "take-over-done");
+  await waitUntil(isOwned);
+  const owner = fleet.events.find(({ event }) => event === "take-over-done")!.host;
   const id = "00000000000000b1";
   const submitted = await call(fleet, owner, "POST", `/berths/${id}`, { body: JOB });
   void fleet.hosts[owner]!.stop();
