--- /dev/null
+++ b/src/owner/owner_decisions_test.ts
@@ -0,0 +1,205 @@
+import test from "ava";
+import { Configuration } from "../fleet/configuration.ts";
+import { Job, type JobStep, TaskState } from "../fleet/job.ts";
+import type { StepSpecification } from "../fleet/job_specification.ts";
+import { ArrivalMeter } from "./arrival_meter.ts";
+import { DurationBook } from "./duration_book.ts";
+import { FleetState } from "./fleet_state.ts";
+import {
+  compareRanks,
+  createArrivalOrder,
+  createUrgencyOrder,
+  type RankStep,
+} from "./job_order.ts";
+import type { OwnerPorts } from "./owner_ports.ts";
+import { getNextPace } from "./pace_control.ts";
+import { getHostsNeeded, type PoolLoad } from "./pool_need.ts";
+import { ShareMeter } from "./share_meter.ts";
+
+const STEP: StepSpecification = {
+  count: 1,
+  demand: { cpu: 1_000, memory: 100, accelerators: 0 },
+  estimatedMilliseconds: 500,
+  after: [],
+  isGang: false,
+  wantsSameRack: false,
+  mostPerExecutor: 0,
+  isSpeculative: false,
+  isLasting: false,
+  tailMilliseconds: 0,
+  isFiller: false,
+  mostAway: 0,
+};
+
+function createState(): FleetState {
+  const ignore = () => {};
+  const ports: OwnerPorts = {
+    start: ignore,
+    stop: ignore,
+    pace: ignore,
+    look: ignore,
+    askAdvice: ignore,
+    listHosts: ignore,
+    maintain: ignore,
+    move: ignore,
+    writeStatus: ignore,
+    write: ignore,
+  };
+  const limits = {
+    rememberMilliseconds: 1,
+    stopMilliseconds: 1,
+    earlierLeaseMilliseconds: 0,
+    farFactor: 1,
+  };
+  const state = FleetState.create({ fence: 1, limits, ports, log: ignore, startedAt: 0 });
+  state.setConfiguration(Configuration.create({
+    version: 1,
+    queues: [{
+      name: "tugs",
+      host: "h",
+      pathPrefix: "/",
+      service: "tugdesk",
+      priority: 0,
+      attemptLimit: 4,
+      stretch: 1.6,
+      objectiveMilliseconds: 600,
+      isPublic: true,
+    }],
+    services: [],
+    customers: [],
+    largestBodyBytes: 1,
+  }));
+  return state;
+}
+
+function createStep(id: string, acceptedAt: number, isBeyondShare = false): JobStep {
+  const specification = {
+    text: "",
+    steps: [STEP],
+    repeats: 0,
+    firstAt: 0,
+    intervalMilliseconds: 0,
+  };
+  const job = Job.create({ id, queue: "tugs", customer: "", specification, acceptedAt });
+  job.isBeyondShare = isBeyondShare;
+  return job.addOccurrence(0, TaskState.Waiting)[0]!;
+}
+
+/** Plays a turn of twice the pool's room, then half of it, and counts the jobs in their objective. */
+function playTurn(createOrder: (state: FleetState) => RankStep) {
+  const state = createState();
+  const rank = createOrder(state);
+  const waiting: JobStep[] = [];
+  const told = { inObjective: 0, late: 0, longestWait: 0 };
+  const objective = 1.6 * STEP.estimatedMilliseconds + 600;
+  let number = 0;
+  for (let now = 0; now < 20_000; now += 50) {
+    state.timeOfDay = now;
+    const gap = now < 6_000 ? 50 : 200;
+    if (now < 12_000 && now % gap === 0) waiting.push(createStep(`j${number++}`, now));
+    // Five tasks of 500 ms at once make one start each 100 ms.
+    if (now % 100 !== 0) continue;
+    waiting.sort((first, second) => compareRanks(rank(first), rank(second)));
+    const step = waiting.shift();
+    if (step === undefined) continue;
+    const wait = now - step.job.acceptedAt;
+    told.longestWait = Math.max(told.longestWait, wait);
+    if (wait + STEP.estimatedMilliseconds <= objective) told.inObjective += 1;
+    else told.late += 1;
+  }
+  return told;
+}
+
+test("in a turn beyond the pool's room, urgency serves more jobs in time than arrival", (t) => {
+  const arrival = playTurn(createArrivalOrder);
+  const urgency = playTurn((state) => createUrgencyOrder(state, DurationBook.create()));
+  t.snapshot({ arrival, urgency });
+  t.true(urgency.inObjective > 1.5 * arrival.inObjective);
+  t.is(urgency.inObjective + urgency.late, arrival.inObjective + arrival.late);
+});
+
+test("what is beyond a customer's share goes after what is within another's", (t) => {
+  const state = createState();
+  state.timeOfDay = 100;
+  const rank = createUrgencyOrder(state, DurationBook.create());
+  const steps = [createStep("beyond", 0, true), createStep("within", 90), createStep("first", 10)];
+  steps.sort((first, second) => compareRanks(rank(first), rank(second)));
+  t.deepEqual(steps.map((step) => step.job.id), ["first", "within", "beyond"]);
+});
+
+test("a customer's share is its weight in jobs a second, with a second saved up", (t) => {
+  const meter = ShareMeter.create();
+  const times = [0, 0, 0, 500, 600, 2_000, 2_000, 2_000];
+  t.deepEqual(times.map((now) => meter.isBeyondShare("mine", 2, now)), [
+    false,
+    false,
+    true,
+    false,
+    true,
+    false,
+    false,
+    true,
+  ]);
+});
+
+test("durations follow the way that errs less", (t) => {
+  const book = DurationBook.create();
+  const step = createStep("a", 0);
+  const before = book.getDuration(step);
+  for (const milliseconds of [1_000, 1_040, 980, 1_010, 1_000]) book.add(step, milliseconds);
+  const long = { ...STEP, estimatedMilliseconds: 5_000 };
+  t.snapshot({
+    before,
+    same: book.getDuration(step),
+    long: book.getDuration({ ...step, specification: long }),
+  });
+});
+
+test("arrivals are foretold with their trend, and spread over their chain", (t) => {
+  const meter = ArrivalMeter.create();
+  const told: number[] = [];
+  for (let now = 0; now <= 6_000; now += 500) {
+    if (now >= 2_000 && now < 4_000) {
+      meter.add({ service: "tugdesk", work: 2_000_000, chainMilliseconds: 1_000, now });
+    }
+    told.push(Math.round(meter.getForecastCpu("tugdesk", now)));
+  }
+  t.snapshot(told);
+});
+
+test("a pool needs hosts for its load, its arrivals and its lasting tasks", (t) => {
+  const terms = {
+    backlogMilliseconds: 1_000,
+    usablePart: 0.9,
+    forecastPart: 0.75,
+    spareHosts: 1,
+    fewestHosts: 2,
+  };
+  const idle: PoolLoad = {
+    usedCpu: 0,
+    waitingCpu: 0,
+    waitingWork: 0,
+    forecastCpu: 0,
+    lastingExecutors: 0,
+    lastingCpu: 0,
+    hostCpu: 32_000,
+  };
+  const loads: Record<string, PoolLoad> = {
+    idle,
+    lasting: { ...idle, lastingExecutors: 5, usedCpu: 13_000, lastingCpu: 13_000 },
+    shortBacklog: { ...idle, usedCpu: 60_000, waitingCpu: 90_000, waitingWork: 20_000_000 },
+    longBacklog: { ...idle, usedCpu: 60_000, waitingCpu: 90_000, waitingWork: 900_000_000 },
+    turn: { ...idle, usedCpu: 60_000, forecastCpu: 400_000, lastingCpu: 13_000 },
+  };
+  t.snapshot(Object.fromEntries(
+    Object.entries(loads).map(([name, load]) => [name, getHostsNeeded(load, terms)]),
+  ));
+});
+
+test("fillers are halved under strain and raised slowly without", (t) => {
+  const strains = [1.2, 1.2, 1.2, 1.2, 0.95, 0.8, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5];
+  const paces: number[] = [];
+  let pace = 100;
+  for (const strain of strains) paces.push(pace = getNextPace(pace, strain));
+  t.deepEqual(paces, [50, 25, 12, 6, 0, 0, 15, 30, 45, 60, 75, 90, 100, 100]);
+});
