--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -2,6 +2,8 @@
 import { Configuration } from "../fleet/configuration.ts";
 import { Job, type JobStep, TaskState } from "../fleet/job.ts";
 import type { StepSpecification } from "../fleet/job_specification.ts";
+import { Executor } from "../fleet/executor.ts";
+import { type Run, RunStage } from "../fleet/run.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
 import { DurationBook } from "./duration_book.ts";
 import { FleetState } from "./fleet_state.ts";
@@ -11,6 +13,7 @@
   createUrgencyOrder,
   type RankStep,
 } from "./job_order.ts";
+import { mayBeStopped } from "./lasting_budget.ts";
 import type { OwnerPorts } from "./owner_ports.ts";
 import { getNextPace } from "./pace_control.ts";
 import { getHostsNeeded, type PoolLoad } from "./pool_need.ts";
@@ -31,7 +34,24 @@
   mostAway: 0,
 };
 
-function createState(): FleetState {
+function createRun(task: string): Run {
+  return {
+    task,
+    number: 1,
+    executorId: "i-1",
+    stage: RunStage.Running,
+    orderedAt: 0,
+    confirmedAt: 0,
+    startDeadline: 0,
+    percent: 100,
+    progressedAt: 0,
+    pace: 100,
+    pacedAt: 0,
+    usage: 0,
+  };
+}
+
+function createState(fence = 1): FleetState {
   const ignore = () => {};
   const ports: OwnerPorts = {
     start: ignore,
@@ -47,11 +67,11 @@
   };
   const limits = {
     rememberMilliseconds: 1,
-    stopMilliseconds: 1,
+    stopMilliseconds: 900,
     earlierLeaseMilliseconds: 0,
     farFactor: 1,
   };
-  const state = FleetState.create({ fence: 1, limits, ports, log: ignore, startedAt: 0 });
+  const state = FleetState.create({ fence, limits, ports, log: ignore, startedAt: 0 });
   state.setConfiguration(Configuration.create({
     version: 1,
     queues: [{
@@ -196,6 +216,33 @@
   ));
 });
 
+test("a new owner stops no lasting task while a stop of the earlier one may be under way", (t) => {
+  const lasting = { ...STEP, count: 2, isLasting: true, mostAway: 1 };
+  const told = [1, 2].map((fence) => {
+    const state = createState(fence);
+    const specification = { ...createStep("x", 0).job.specification, steps: [lasting] };
+    const job = Job.create({ id: "j", queue: "tugs", customer: "", specification, acceptedAt: 0 });
+    const step = job.addOccurrence(0, TaskState.Unknown)[0]!;
+    const executor = Executor.create({
+      id: "i-1",
+      born: 1,
+      service: "tugdesk",
+      address: "10.0.0.1:80",
+      zone: "zl-a",
+      labels: [],
+      capacity: STEP.demand,
+      isDraining: false,
+    });
+    state.executors.set(executor.id, executor);
+    for (const task of step.tasks) state.addRun(executor, { task, run: createRun(task.name) });
+    return [100, 1_500, 2_500].map((now) => {
+      state.now = now;
+      return mayBeStopped(state, step.tasks[0]!);
+    });
+  });
+  t.deepEqual(told, [[true, true, true], [false, false, true]]);
+});
+
 test("fillers are halved under strain and raised slowly without", (t) => {
   const strains = [1.2, 1.2, 1.2, 1.2, 0.95, 0.8, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5];
   const paces: number[] = [];
