Wait for each host's own last order at a take-over; learn the store's time-outs

A new owner left every host alone for 5 s that had been ordered within 20 s, which is nearly all of them. And an append whose answer was lost was repeated after a second only, so owners lost their claims to each other.

Ruled out: the take-over itself (0.1 s), the provider (answers in 10 ms), budgets of lasting tasks (the waiting hosts were spare ones).

Now the record of an order names the claim's renewal, whose least distance tells how old it is without a clock of a host, and each host waits by its own order. Time-outs of the store follow what its answers take.

--- a/src/owner/capacity.ts
+++ b/src/owner/capacity.ts
@@ -5,6 +5,7 @@
 import { type Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { HostControl } from "./host_control.ts";
+import { ORDER_RECORD_MILLISECONDS } from "./host_order_records.ts";
 import type { Maintenance } from "./maintenance.ts";
 import type { MoveOrder } from "./owner_ports.ts";
 import { type CapacityTerms, getHostsNeeded, type PoolLoad } from "./pool_need.ts";
@@ -13,8 +14,6 @@
 const KEEP_MILLISECONDS = 1_800;
 /** How long a host may take to become empty before it stays, in milliseconds. */
 const EMPTYING_MILLISECONDS = 4_000;
-/** How long the record of an order may take to be stored before the order is dropped, in milliseconds. */
-const ORDER_MILLISECONDS = 1_500;
 /** How long an order without an answer may still be carried out, in milliseconds. */
 const LATE_ORDER_MILLISECONDS = 13_000;
 /** How long a new owner leaves the sizes of pools as they are, in milliseconds. */
@@ -143,7 +142,7 @@
     transfer.since = state.now;
     const { host, from, to } = transfer;
     state.ports.write([hosts.createOrderEntry(host)], () => {
-      if (!state.mayStart || state.now - transfer.since > ORDER_MILLISECONDS) {
+      if (!state.mayStart || state.now - transfer.since > ORDER_RECORD_MILLISECONDS) {
         return this.#end(transfer);
       }
       state.log("host-moved", { host, from, to });
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -32,6 +32,8 @@
   now: number;
   /** The time of day, in milliseconds since 1970. */
   timeOfDay: number;
+  /** The renewals of the owner's claim that it knows of. */
+  renewal: number;
   /** Whether the owner may start tasks and act on hosts now. */
   mayStart: boolean;
   /** Whether the owner may extend leases now. */
@@ -54,8 +56,8 @@
   stored: readonly (readonly [string, Uint8Array])[];
   /** How the sizes of pools follow their load. */
   capacityTerms: CapacityTerms;
-  /** How long hosts are left alone that an earlier owner ordered, in milliseconds. */
-  hostOrderDelayMilliseconds: number;
+  /** For how long hosts are left alone that an earlier owner ordered, in milliseconds, by name. */
+  hostOrderWaits: ReadonlyMap<string, number>;
   /** How long a host is away for maintenance, in milliseconds. */
   maintenanceMilliseconds: number;
   /** How long an earlier owner's starts may still run where this one cannot look, in milliseconds. */
@@ -114,8 +116,7 @@
     this.#hosts = HostControl.create({
       state: this.#state,
       runs: this.#runs,
-      orderDelayMilliseconds: options.hostOrderDelayMilliseconds,
-      stored: options.stored,
+      orderWaits: options.hostOrderWaits,
     });
     this.#maintenance = Maintenance.create({
       state: this.#state,
@@ -154,6 +155,7 @@
     if (moment.mayStart && !state.mayStart) state.needsDispatch = true;
     state.now = moment.now;
     state.timeOfDay = moment.timeOfDay;
+    state.renewal = moment.renewal;
     state.mayStart = moment.mayStart && !state.isDeposed;
     state.mayExtend = moment.mayExtend && !state.isDeposed;
     state.leaseMilliseconds = moment.leaseMilliseconds;
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -54,6 +54,8 @@
   now = 0;
   /** The time of day, in milliseconds since 1970, set before each decision. */
   timeOfDay = 0;
+  /** The renewals of the owner's claim that it knows of, set before each decision. */
+  renewal = 0;
   /** Whether the owner may start tasks and act on hosts now. */
   mayStart = false;
   /** Whether the owner may extend leases now. */
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -1,30 +1,21 @@
 /** Empties hosts for planned actions, and knows which are where. */
 
-import { Decoder, Encoder } from "cbor-x";
 import type { Executor } from "../fleet/executor.ts";
 import { type Host, HostState } from "../fleet/host.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { mayBeStopped } from "./lasting_budget.ts";
+import { createHostOrderEntry } from "./host_order_records.ts";
 import type { JournalEntry } from "./owner_ports.ts";
 import type { RunControl } from "./run_control.ts";
 
-const ORDER_PREFIX = "host-order/";
-/** How old an order may be to count as recent, in milliseconds: the clocks of hosts differ by seconds. */
-const RECENT_MILLISECONDS = 20_000;
-
-const encoder = new Encoder({ useRecords: false });
-const decoder = new Decoder({ useRecords: false });
-
 /** Options of a `HostControl`. */
 export interface HostControlOptions {
   /** The state. */
   state: FleetState;
   /** The decisions about runs. */
   runs: RunControl;
-  /** How long hosts are left alone that an earlier owner ordered, in milliseconds. */
-  orderDelayMilliseconds: number;
-  /** What earlier owners stored, by key. */
-  stored: Iterable<readonly [string, Uint8Array]>;
+  /** For how long hosts are left alone that an earlier owner ordered, in milliseconds, by name. */
+  orderWaits: ReadonlyMap<string, number>;
 }
 
 /** The decisions about single hosts. */
@@ -36,30 +27,23 @@
   /** The hosts that a planned action has for itself, with what it is. */
   readonly #reserved = new Map<string, string>();
 
-  /** The hosts that an earlier owner ordered a short while ago. */
-  readonly #orderedBefore = new Set<string>();
-  readonly #mayOrderThemFrom: number;
+  readonly #orderWaits: ReadonlyMap<string, number>;
 
   private constructor(options: HostControlOptions) {
     this.#state = options.state;
     this.#runs = options.runs;
-    this.#mayOrderThemFrom = options.state.now + options.orderDelayMilliseconds;
-    for (const [key, value] of options.stored) {
-      if (!key.startsWith(ORDER_PREFIX)) continue;
-      const { at } = decoder.decode(value) as { at: number };
-      const age = Math.abs(options.state.timeOfDay - at);
-      if (age < RECENT_MILLISECONDS) this.#orderedBefore.add(key.slice(ORDER_PREFIX.length));
-    }
+    this.#orderWaits = options.orderWaits;
   }
 
-  /** Creates the decisions from what earlier owners stored. */
+  /** Creates the decisions on a state. */
   static create(options: HostControlOptions): HostControl {
     return new HostControl(options);
   }
 
   /** Gets whether a host may be ordered: not soon after an earlier owner ordered the same one. */
   mayOrder(name: string): boolean {
-    return this.#state.now >= this.#mayOrderThemFrom || !this.#orderedBefore.has(name);
+    const { now, startedAt } = this.#state;
+    return now >= startedAt + (this.#orderWaits.get(name) ?? 0);
   }
 
   /**
@@ -69,7 +53,8 @@
    * earlier one may still order, and leaves those alone for a while.
    */
   createOrderEntry(name: string): JournalEntry {
-    return { key: ORDER_PREFIX + name, value: encoder.encode({ at: this.#state.timeOfDay }) };
+    const { fence, renewal } = this.#state;
+    return createHostOrderEntry(name, { epoch: fence, renewal });
   }
 
   /** Sets the provider's list. */
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -6,6 +6,7 @@
 import type { MaintenanceWave } from "../fleet/maintenance_wave.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { HostControl } from "./host_control.ts";
+import { ORDER_RECORD_MILLISECONDS } from "./host_order_records.ts";
 import type { JournalEntry, MaintainOrder } from "./owner_ports.ts";
 
 const WAVE_PREFIX = "wave/";
@@ -237,8 +238,10 @@
     const entries = [this.#createEntry(progress), hosts.createOrderEntry(place.name)];
     state.ports.write(entries, () => {
       if (place.stage !== Stage.Storing) return;
+      const isLate = state.now - place.since > ORDER_RECORD_MILLISECONDS;
       this.#setStage(place, Stage.Ordered);
-      this.#send(progress, place);
+      if (isLate) place.retryAt = state.now + RETRY_MILLISECONDS;
+      else this.#send(progress, place);
     });
   }
 
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -16,11 +16,12 @@
 import type { ForwardedCall } from "../front/call_frame.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
 import { AUTHORITY_MILLISECONDS } from "../ownership/ownership_task.ts";
-import type { JournalStore } from "../ownership/ownership_ports.ts";
+import type { Claim, JournalStore } from "../ownership/ownership_ports.ts";
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
 import type { Advice } from "./advice_control.ts";
 import { FleetOwner } from "./fleet_owner.ts";
 import type { OwnerLimits } from "./fleet_state.ts";
+import { getHostOrderWaits } from "./host_order_records.ts";
 import type { CapacityTerms } from "./pool_need.ts";
 import { readStoredJobs } from "./job_records.ts";
 import type {
@@ -89,7 +90,7 @@
   | { kind: "call"; call: ForwardedCall; reply: Reply<Answer> }
   | { kind: "configuration"; configuration: Configuration; requests: OperatorRequests }
   | { kind: "executors"; entries: readonly ExecutorEntry[] }
-  | { kind: "confirmed"; confirmedAt: number }
+  | { kind: "confirmed"; confirmedAt: number; renewal: number }
   | { kind: "fence-set"; sequence: number }
   | { kind: "stored-read"; entries: [string, Uint8Array][] }
   | { kind: "start-answered"; order: StartOrder; answer: OrderAnswer; milliseconds: number }
@@ -108,8 +109,8 @@
 export interface OwnerTaskOptions {
   /** The epoch of the claim, which is the fence at executors. */
   epoch: number;
-  /** Whether the previous owner released its claim, so that nothing of it is on the way. */
-  isHandedOver: boolean;
+  /** The claim before this one, as it was last renewed. */
+  previousClaim: Claim | undefined;
   /** Where the journal lasts. */
   journalStore: JournalStore;
   /** Sends orders. */
@@ -152,6 +153,7 @@
   #requests: OperatorRequests = { evacuatedZones: new Set(), waves: new Map() };
   #entries: readonly ExecutorEntry[] | undefined;
   #confirmedAt: number;
+  #renewal = 0;
   #isFinishing = false;
   #isSettling = false;
   #early: { call: ForwardedCall; reply: Reply<Answer> }[] = [];
@@ -190,6 +192,7 @@
         break;
       case "confirmed":
         this.#confirmedAt = Math.max(this.#confirmedAt, message.confirmedAt);
+        this.#renewal = message.renewal;
         return;
       case "fence-set":
         return this.#openJournal(message.sequence);
@@ -302,10 +305,15 @@
   #tryStart(): void {
     if (this.#owner !== undefined || this.#configuration === undefined) return;
     if (this.#entries === undefined || this.#stored === undefined) return;
-    const { epoch, limits, log, getSteady, isHandedOver, onMeasured } = this.#options;
+    const { epoch, limits, log, getSteady, onMeasured, previousClaim } = this.#options;
     const { jobs, unreadable } = readStoredJobs(this.#stored);
     for (const { key, reason } of unreadable) log("journal-entry-unreadable", { key, reason });
     const startedAt = getSteady();
+    const hostOrderWaits = getHostOrderWaits({
+      stored: this.#stored,
+      previous: previousClaim,
+      leaseMilliseconds: this.#options.providerLeaseMilliseconds,
+    });
     this.#owner = FleetOwner.create({
       fence: epoch,
       limits: { ...limits, earlierLeaseMilliseconds: this.#getEarlierLease() },
@@ -316,7 +324,7 @@
       configuration: this.#configuration,
       jobs,
       stored: this.#stored,
-      hostOrderDelayMilliseconds: this.#getHostOrderDelay(),
+      hostOrderWaits,
       capacityTerms: CAPACITY_TERMS,
       maintenanceMilliseconds: this.#options.maintenanceMilliseconds,
       executors: this.#entries,
@@ -328,7 +336,9 @@
     onMeasured("take-over", milliseconds);
     log("take-over-done", {
       epoch,
-      handedOver: isHandedOver,
+      handedOver: previousClaim?.isReleased === true,
+      previousRenewal: previousClaim?.renewal,
+      waitingHosts: hostOrderWaits.size,
       jobs: jobs.length,
       executors: this.#entries.length,
       took: Math.round(milliseconds),
@@ -341,17 +351,9 @@
 
   /** Gets the longest lease that an earlier owner may have granted. */
   #getEarlierLease(): number {
-    const { epoch, isHandedOver } = this.#options;
-    if (epoch === 1) return 0;
-    return isHandedOver ? LEASE_MILLISECONDS : OUTAGE_LEASE_MILLISECONDS;
-  }
-
-  /** Gets how long orders to hosts wait, so that two holders never take turns within the lease. */
-  #getHostOrderDelay(): number {
-    const { epoch, isHandedOver, providerLeaseMilliseconds } = this.#options;
-    if (epoch === 1) return 0;
-    const margin = TICK_MILLISECONDS;
-    return providerLeaseMilliseconds + margin + (isHandedOver ? 0 : AUTHORITY_MILLISECONDS);
+    const { previousClaim } = this.#options;
+    if (previousClaim === undefined) return 0;
+    return previousClaim.isReleased ? LEASE_MILLISECONDS : OUTAGE_LEASE_MILLISECONDS;
   }
 
   #createPorts(): OwnerPorts {
@@ -416,6 +418,7 @@
     this.#owner?.setMoment({
       now: getSteady(),
       timeOfDay: getTimeOfDay(),
+      renewal: this.#renewal,
       mayStart: age < AUTHORITY_MILLISECONDS && !this.#isFinishing,
       mayExtend: leaseMilliseconds > 0 && !this.#isFinishing,
       leaseMilliseconds,
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -290,20 +290,21 @@
       this.#closeOwner("another claim is newer, or this one is released");
     }
     if (view.isMine) {
-      if (this.#owner === undefined) this.#openOwner(epoch, previous?.isReleased === true);
-      this.#owner?.task.post({ kind: "confirmed", confirmedAt: view.confirmedAt });
+      if (this.#owner === undefined) this.#openOwner(epoch, previous);
+      const renewal = view.claim?.renewal ?? 0;
+      this.#owner?.task.post({ kind: "confirmed", confirmedAt: view.confirmedAt, renewal });
     }
     this.#front.post({ kind: "ownership", view });
   }
 
-  #openOwner(epoch: number, isHandedOver: boolean): void {
+  #openOwner(epoch: number, previousClaim: Claim | undefined): void {
     const { bounds } = this.#settings;
     const client = ExecutorClient.create(this.#log);
     const list = ExecutorList.create(this.#log);
-    this.#log("owner-started", { epoch, handedOver: isHandedOver });
+    this.#log("owner-started", { epoch, handedOver: previousClaim?.isReleased === true });
     const task = OwnerTask.create({
       epoch,
-      isHandedOver,
+      previousClaim,
       journalStore: createJournalStore(this.#store),
       executors: client,
       provider: this.#provider,
--- a/src/platform/provider_client.ts
+++ b/src/platform/provider_client.ts
@@ -4,14 +4,13 @@
 import { getErrorMessage } from "../errors/mod.ts";
 import type { EventLog } from "../events/mod.ts";
 import { type Host, HostOrderOutcome, HostState } from "../fleet/host.ts";
+import { PROVIDER_TIMEOUT_MILLISECONDS } from "../owner/host_order_records.ts";
 import { HttpLink, type LinkAnswer } from "./http_link.ts";
 import { decodeResources } from "./operator_records.ts";
 import { parseJson } from "./store_client.ts";
 
 /** The most connections to the provider. */
 const PROVIDER_CONNECTIONS = 4;
-/** How long the provider may take, in milliseconds. */
-const PROVIDER_TIMEOUT_MILLISECONDS = 1_500;
 
 const listSchema = z.object({
   machines: z.array(z.object({
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -178,7 +178,7 @@
         spareHosts: 1,
         fewestHosts: 1,
       },
-      hostOrderDelayMilliseconds: 0,
+      hostOrderWaits: new Map(),
       maintenanceMilliseconds: 2_000,
       executors: this.#getToldEntries(),
       doubtMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS + 200,
@@ -222,6 +222,7 @@
     owner.setMoment({
       now: this.#now,
       timeOfDay: this.#now,
+      renewal: 0,
       mayStart: true,
       mayExtend: true,
       leaseMilliseconds: LEASE_MILLISECONDS,
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -2,12 +2,11 @@
 
 import { z } from "zod";
 import { StepError } from "../errors/mod.ts";
+import { AnswerTimeout } from "./answer_timeout.ts";
 import { HttpLink, type LinkAnswer, type LinkCall, NoAnswerError } from "./http_link.ts";
 
 /** The most connections to the store. */
 const STORE_CONNECTIONS = 12;
-/** How long the store may take beyond a wait that was asked for, in milliseconds. */
-const STORE_TIMEOUT_MILLISECONDS = 1_000;
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 
@@ -91,6 +90,8 @@
 /** Calls the store. */
 export class StoreClient {
   readonly #link: HttpLink;
+  /** The time-outs by the step of the call. */
+  readonly #timeouts = new Map<string, AnswerTimeout>();
 
   private constructor(link: HttpLink) {
     this.#link = link;
@@ -124,7 +125,6 @@
       path: `/-/log-append?${query}`,
       headers: { "content-type": "application/octet-stream" },
       body: frameRecords(options.records),
-      timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
     });
     switch (answer.status) {
       case 200:
@@ -151,8 +151,7 @@
     const answer = await this.#call("read", {
       method: "GET",
       path: `/-/log-read?topic=${topic}&part=${part}&from=${from}&waitMs=${waitMilliseconds}`,
-      timeoutMilliseconds: waitMilliseconds + STORE_TIMEOUT_MILLISECONDS,
-    });
+    }, waitMilliseconds);
     if (answer.status === 410) {
       return { outcome: "expired", ...this.#parse("read", expiredSchema, answer) };
     }
@@ -175,7 +174,6 @@
       const answer = await this.#call("read-newest", {
         method: "GET",
         path: `/-/log-newest?${query}`,
-        timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
       });
       if (answer.status !== 200) return { outcome: "refused", status: answer.status };
       const page = this.#parse("read-newest", newestSchema, answer);
@@ -194,8 +192,24 @@
     this.#link.close();
   }
 
-  #call(step: string, call: Omit<LinkCall, "step">): Promise<LinkAnswer> {
-    return this.#link.call({ step, ...call });
+  /** Calls, and learns how long the store takes beyond the wait that was asked for. */
+  async #call(
+    step: string,
+    call: Omit<LinkCall, "step" | "timeoutMilliseconds">,
+    waitMilliseconds = 0,
+  ): Promise<LinkAnswer> {
+    const timeout = this.#timeouts.get(step) ?? AnswerTimeout.create();
+    this.#timeouts.set(step, timeout);
+    const timeoutMilliseconds = waitMilliseconds + timeout.getMilliseconds();
+    const sentAt = performance.now();
+    try {
+      const answer = await this.#link.call({ step, ...call, timeoutMilliseconds });
+      timeout.addAnswer(Math.max(0, performance.now() - sentAt - waitMilliseconds));
+      return answer;
+    } catch (error) {
+      timeout.addSilence();
+      throw error;
+    }
   }
 
   #parse<Value>(step: string, schema: z.ZodType<Value>, answer: LinkAnswer): Value {
