Let a new owner grow pools at once

Ruled out: the list of hosts (read within 0.1 s). Shrinking stays held back by the size that each pool had.

--- a/src/owner/capacity.ts
+++ b/src/owner/capacity.ts
@@ -16,8 +16,6 @@
 const EMPTYING_MILLISECONDS = 4_000;
 /** How long an order without an answer may still be carried out, in milliseconds. */
 const LATE_ORDER_MILLISECONDS = 13_000;
-/** How long a new owner leaves the sizes of pools as they are, in milliseconds. */
-const SETTLE_MILLISECONDS = 1_500;
 /** How often sizes are decided, in milliseconds. */
 const DECIDE_MILLISECONDS = 100;
 /** How long a new executor may take to be listed after a move, in milliseconds. */
@@ -86,7 +84,6 @@
   tick(): void {
     const { state, hosts } = this.#options;
     if (!state.mayStart || hosts.getListedAt() < state.startedAt) return;
-    if (state.now < state.startedAt + SETTLE_MILLISECONDS) return;
     for (const transfer of this.#transfers.values()) this.#advance(transfer);
     if (state.now - this.#decidedAt < DECIDE_MILLISECONDS) return;
     this.#decidedAt = state.now;
