--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -135,6 +135,12 @@
     this.#clock = reading;
   }
 
+  /** Gets what the executor's clock shows now, at most, or undefined where it was never read. */
+  getTime(now: number): number | undefined {
+    const clock = this.#clock;
+    return clock && clock.executorTime + Math.max(0, now - clock.receivedAt);
+  }
+
   /** Gets a deadline on the executor's clock that lies a lease ahead, and remembers the longest given. */
   grantDeadline(now: number, leaseMilliseconds: number): number {
     const clock = this.#clock;
--- /dev/null
+++ b/src/owner/fleet_hosts_test.ts
@@ -0,0 +1,223 @@
+import test from "ava";
+import fc from "fast-check";
+import type { ConfigurationData } from "../fleet/configuration.ts";
+import { type Host, HostState } from "../fleet/host.ts";
+import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
+import { FleetWorld, type WorldFaults, type WorldLies } from "../platform/stand_in/fleet_world.ts";
+
+const NO_FAULTS: WorldFaults = { lostPart: 0, latePart: 0, failingPart: 0 };
+const SERVICES = ["tugdesk", "berthbook"];
+const HOSTS_EACH = 5;
+const SPARE_HOSTS = 4;
+
+const CONFIGURATION: ConfigurationData = {
+  version: 1,
+  queues: SERVICES.map((service) => ({
+    name: service,
+    host: `${service}.example`,
+    pathPrefix: "/",
+    service,
+    priority: 0,
+    attemptLimit: 3,
+    stretch: 1.6,
+    objectiveMilliseconds: 600,
+    isPublic: true,
+  })),
+  services: [
+    ...SERVICES.map((name) => ({ name, isGuarded: false, isSpare: false })),
+    { name: "spare", isGuarded: false, isSpare: true },
+  ],
+  customers: [],
+  largestBodyBytes: 10_000,
+};
+
+const HOSTS: Host[] = [...SERVICES, "spare"].flatMap((pool) =>
+  Array.from({ length: pool === "spare" ? SPARE_HOSTS : HOSTS_EACH }, (_, number) => ({
+    name: `${pool}-${number}`,
+    pool,
+    state: HostState.Up,
+    zone: number % 2 === 0 ? "zl-a" : "zl-b",
+    capacity: { cpu: 8_000, memory: 64_000, accelerators: 0 },
+    executorId: "",
+  }))
+);
+
+function createJob(step: Partial<StepSpecification>): JobSpecification {
+  const whole: StepSpecification = {
+    count: 6,
+    demand: { cpu: 1_500, memory: 1_000, accelerators: 0 },
+    estimatedMilliseconds: 600,
+    after: [],
+    isGang: false,
+    wantsSameRack: false,
+    mostPerExecutor: 0,
+    isSpeculative: false,
+    isLasting: false,
+    tailMilliseconds: 0,
+    isFiller: false,
+    mostAway: 0,
+    ...step,
+  };
+  return { text: "", steps: [whole], repeats: 0, firstAt: 0, intervalMilliseconds: 0 };
+}
+
+const QUERY = createJob({});
+const LASTING = createJob({ count: 4, isLasting: true, mostAway: 1, mostPerExecutor: 2 });
+
+interface Scenario {
+  seed: number;
+  faults: WorldFaults;
+  lies?: WorldLies;
+  /** Things that happen, every second. */
+  happenings: readonly string[];
+}
+
+/** Plays 16 s of queues that have their turns, with a wave over most hosts, and 14 s without jobs. */
+function play(scenario: Scenario): FleetWorld {
+  const { seed, faults, happenings } = scenario;
+  const world = FleetWorld.create({
+    seed,
+    faults,
+    configuration: CONFIGURATION,
+    hosts: HOSTS,
+    ...(scenario.lies === undefined ? {} : { lies: scenario.lies }),
+  });
+  world.run(500);
+  for (const service of SERVICES) world.submit(`lasting-${service}`, service, "", LASTING);
+  const hosts = HOSTS.filter((_, index) => index % 3 !== 0).map(({ name }) => name);
+  for (let turn = 0; turn < 64; turn += 1) {
+    if (turn === 8) {
+      world.askWave({ number: 1, hosts, ceiling: 3, durationMilliseconds: 20_000 });
+    }
+    const service = SERVICES[Math.floor(turn / 16) % SERVICES.length]!;
+    world.submit(`job${turn}`, service, "", QUERY);
+    if (turn % 4 === 3) apply(world, happenings[Math.floor(turn / 4)], turn);
+    world.run(250);
+  }
+  world.run(14_000);
+  return world;
+}
+
+function apply(world: FleetWorld, happening: string | undefined, turn: number): void {
+  switch (happening) {
+    case "owner":
+      return world.replaceOwner();
+    case "crash":
+      return world.crash(world.getExecutorIds()[turn % HOSTS_EACH] ?? "");
+    case "drain":
+      return world.drain(world.getExecutorIds()[turn % HOSTS_EACH] ?? "");
+  }
+}
+
+test("the promises on hosts hold in random runs with waves, moves and new owners", (t) => {
+  const happening = fc.constantFrom("none", "none", "owner", "crash", "drain");
+  const scenarios = fc.record({
+    seed: fc.integer({ min: 1, max: 2 ** 30 }),
+    faults: fc.record({
+      lostPart: fc.constantFrom(0, 0.02, 0.05),
+      latePart: fc.constantFrom(0, 0.5, 1),
+      failingPart: fc.constantFrom(0, 0.05),
+    }),
+    happenings: fc.array(happening, { minLength: 16, maxLength: 16 }),
+  });
+  let moves = 0;
+  fc.assert(
+    fc.property(scenarios, (scenario) => {
+      const world = play(scenario);
+      moves += world.getMoves();
+      if (world.violations.length > 0) throw new Error(world.violations.join("; "));
+    }),
+    { seed: 20261204, numRuns: 60, includeErrorInReport: true },
+  );
+  t.true(moves > 600, `only ${moves} moves`);
+});
+
+test("a new owner counts the hosts that the one before it has away", (t) => {
+  // Found by the random runs: seed 20261204, 17th run.
+  const world = play({
+    seed: 1,
+    faults: { ...NO_FAULTS, lostPart: 0.02 },
+    happenings: ["owner", "crash", "none", "owner"],
+  });
+  t.deepEqual(world.violations, []);
+});
+
+test("a run that a report lists is not stopped because its start's answer was lost", (t) => {
+  // Found by the random runs: seed 20261204, 56th run; the stop ended a lasting task at work.
+  const world = play({
+    seed: 15,
+    faults: { ...NO_FAULTS, lostPart: 0.05 },
+    happenings: [...Array<string>(11).fill("none"), "owner"],
+  });
+  t.deepEqual(world.violations, []);
+});
+
+test("a host is not taken from an executor that has not answered the new owner", (t) => {
+  // Found by 1,500 random runs of seed 20261204, the 91st.
+  const world = play({
+    seed: 1,
+    faults: { ...NO_FAULTS, lostPart: 0.05 },
+    happenings: [
+      "crash",
+      "owner",
+      "owner",
+      "none",
+      "crash",
+      "owner",
+      "drain",
+      "none",
+      "crash",
+      "none",
+      "crash",
+      "owner",
+    ],
+  });
+  t.deepEqual(world.violations, []);
+});
+
+test("a wave is completed, and every job within a calm run", (t) => {
+  const world = play({ seed: 1, faults: NO_FAULTS, happenings: [] });
+  const states = Array.from({ length: 64 }, (_, turn) => world.getJobState(`job${turn}`));
+  t.deepEqual([...new Set(states)], ["completed"]);
+  t.true(world.isCompleted(1));
+  t.deepEqual(world.violations, []);
+});
+
+test("a new owner gives a queue that waits more hosts at once", (t) => {
+  const world = FleetWorld.create({
+    seed: 3,
+    faults: NO_FAULTS,
+    configuration: CONFIGURATION,
+    hosts: HOSTS,
+  });
+  world.run(500);
+  world.replaceOwner();
+  for (let number = 0; number < 20; number += 1) {
+    world.submit(`job${number}`, "tugdesk", "", QUERY);
+  }
+  world.run(500);
+  t.is(world.getMoves(), SPARE_HOSTS);
+});
+
+test("each check on hosts fails on an owner that is told falsely", (t) => {
+  const cases: [rule: string, lies: WorldLies, happenings: string[]][] = [
+    [
+      "AVAIL",
+      {
+        job: (job) => ({ ...job, steps: job.steps.map((step) => ({ ...step, mostAway: 0 })) }),
+      },
+      [],
+    ],
+    ["ONE", { losesHostOrders: true }, ["none", "none", "owner", "none", "owner", "none", "owner"]],
+    [
+      "DRAIN",
+      { entry: (entry) => ({ ...entry, isDraining: false }) },
+      Array<string>(16).fill("drain"),
+    ],
+  ];
+  const seen = cases.map(([rule, lies, happenings]) => {
+    const world = play({ seed: 7, faults: NO_FAULTS, happenings, lies });
+    return [rule, world.violations.some((line) => line.startsWith(rule))];
+  });
+  t.deepEqual(seen, cases.map(([rule]) => [rule, true]));
+});
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -14,6 +14,7 @@
 import { JobDesk, type Submission } from "./job_desk.ts";
 import { readStoredExecutors } from "./executor_records.ts";
 import { HostControl } from "./host_control.ts";
+import type { EarlierHostOrders } from "./host_order_records.ts";
 import { addResources, limitResources, NO_RESOURCES, type Resources } from "../fleet/resources.ts";
 import { createUrgencyOrder } from "./job_order.ts";
 import { createProgressEntry } from "./job_records.ts";
@@ -56,8 +57,8 @@
   stored: readonly (readonly [string, Uint8Array])[];
   /** How the sizes of pools follow their load. */
   capacityTerms: CapacityTerms;
-  /** For how long hosts are left alone that an earlier owner ordered, in milliseconds, by name. */
-  hostOrderWaits: ReadonlyMap<string, number>;
+  /** The orders for hosts that earlier owners gave. */
+  earlierHostOrders: EarlierHostOrders;
   /** How long a host is away for maintenance, in milliseconds. */
   maintenanceMilliseconds: number;
   /** How long an earlier owner's starts may still run where this one cannot look, in milliseconds. */
@@ -113,10 +114,12 @@
       rankExecutor: rankLeastLoaded,
       getTicket: (step, executor) => this.#advice.getTicket(step, executor),
     });
+    this.#doubtUntil = options.startedAt + options.doubtMilliseconds;
     this.#hosts = HostControl.create({
       state: this.#state,
       runs: this.#runs,
-      orderWaits: options.hostOrderWaits,
+      earlierOrders: options.earlierHostOrders,
+      doubtUntil: this.#doubtUntil,
     });
     this.#maintenance = Maintenance.create({
       state: this.#state,
@@ -132,7 +135,6 @@
       endExecutor: (executor, reason) => this.#looks.endExecutor(executor, reason),
       terms: options.capacityTerms,
     });
-    this.#doubtUntil = options.startedAt + options.doubtMilliseconds;
     for (const job of options.jobs) this.#desk.restore(job);
     const recorded = readStoredExecutors(options.stored);
     for (const entry of recorded) {
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -1,10 +1,10 @@
 /** Empties hosts for planned actions, and knows which are where. */
 
-import type { Executor } from "../fleet/executor.ts";
+import { type Executor, ExecutorRecord } from "../fleet/executor.ts";
 import { type Host, HostState } from "../fleet/host.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { mayBeStopped } from "./lasting_budget.ts";
-import { createHostOrderEntry } from "./host_order_records.ts";
+import { createHostOrderEntry, type EarlierHostOrders } from "./host_order_records.ts";
 import type { JournalEntry } from "./owner_ports.ts";
 import type { RunControl } from "./run_control.ts";
 
@@ -14,8 +14,10 @@
   state: FleetState;
   /** The decisions about runs. */
   runs: RunControl;
-  /** For how long hosts are left alone that an earlier owner ordered, in milliseconds, by name. */
-  orderWaits: ReadonlyMap<string, number>;
+  /** The orders for hosts that earlier owners gave. */
+  earlierOrders: EarlierHostOrders;
+  /** Until when on the steady clock an earlier owner's starts may run where this one cannot look. */
+  doubtUntil: number;
 }
 
 /** The decisions about single hosts. */
@@ -27,12 +29,14 @@
   /** The hosts that a planned action has for itself, with what it is. */
   readonly #reserved = new Map<string, string>();
 
-  readonly #orderWaits: ReadonlyMap<string, number>;
+  readonly #earlierOrders: EarlierHostOrders;
+  readonly #doubtUntil: number;
 
   private constructor(options: HostControlOptions) {
     this.#state = options.state;
     this.#runs = options.runs;
-    this.#orderWaits = options.orderWaits;
+    this.#earlierOrders = options.earlierOrders;
+    this.#doubtUntil = options.doubtUntil;
   }
 
   /** Creates the decisions on a state. */
@@ -42,8 +46,8 @@
 
   /** Gets whether a host may be ordered: not soon after an earlier owner ordered the same one. */
   mayOrder(name: string): boolean {
-    const { now, startedAt } = this.#state;
-    return now >= startedAt + (this.#orderWaits.get(name) ?? 0);
+    const { now, executors } = this.#state;
+    return !this.#earlierOrders.isBinding(name, now, executors);
   }
 
   /**
@@ -53,8 +57,14 @@
    * earlier one may still order, and leaves those alone for a while.
    */
   createOrderEntry(name: string): JournalEntry {
-    const { fence, renewal } = this.#state;
-    return createHostOrderEntry(name, { epoch: fence, renewal });
+    const { fence, renewal, executors, now } = this.#state;
+    return createHostOrderEntry({
+      host: name,
+      epoch: fence,
+      renewal,
+      executors: executors.values(),
+      now,
+    });
   }
 
   /** Sets the provider's list. */
@@ -135,10 +145,11 @@
     }
   }
 
-  /** Gets whether nothing runs on a host and nothing can start there. */
+  /** Gets whether nothing runs on a host, as far as that is known, and nothing can start there. */
   isEmpty(host: Host): boolean {
     const executor = this.getExecutor(host);
-    return executor === undefined || executor.runs.size === 0;
+    if (executor === undefined) return true;
+    return this.#isKnown(executor) && executor.runs.size === 0 && executor.strayCount === 0;
   }
 
   /** Gets how much work is on a host, in runs; lasting ones count more, since they move one by one. */
@@ -154,6 +165,12 @@
   isUp(host: Host): boolean {
     return host.state === HostState.Up;
   }
+
+  /** Gets whether an executor has told this owner what earlier ones started there, if any did. */
+  #isKnown(executor: Executor): boolean {
+    const mayBeUsed = executor.record === ExecutorRecord.Stored;
+    return executor.isFenced || !mayBeUsed || this.#state.now >= this.#doubtUntil;
+  }
 }
 
 /** How many short runs a lasting one counts for when hosts are chosen to be emptied. */
--- a/src/owner/host_order_records_test.ts
+++ b/src/owner/host_order_records_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
+import { Executor } from "../fleet/executor.ts";
 import type { Claim } from "../ownership/ownership_ports.ts";
-import { createHostOrderEntry, getHostOrderWaits } from "./host_order_records.ts";
+import { createHostOrderEntry, EarlierHostOrders } from "./host_order_records.ts";
 
 const PREVIOUS: Claim = {
   epoch: 4,
@@ -19,17 +20,46 @@
   ["ordered by the owner before", 3, 900],
 ];
 
-function getWaits(previous: Claim | undefined): Record<string, number> {
+/** Creates an executor whose clock is read at 0. */
+function createExecutor(id: string, executorTime: number, host = ""): Executor {
+  const executor = Executor.create({
+    id,
+    born: 1_000,
+    service: "tugdesk",
+    address: "10.0.0.9:80",
+    zone: "zl-a",
+    labels: [],
+    capacity: { cpu: 1_000, memory: 1_000, accelerators: 0 },
+    isDraining: false,
+    host,
+  });
+  executor.isFenced = true;
+  executor.readClock({ executorTime, receivedAt: 0 });
+  return executor;
+}
+
+/** Gets after how many milliseconds each host may be ordered again, in steps of 100. */
+function getWaits(
+  previousClaim: Claim | undefined,
+  now: readonly Executor[] = [],
+): Record<string, number> {
+  const before = [createExecutor("i-1", 60_000), createExecutor("i-2", 8_000)];
   const stored = ORDERS.map(([host, epoch, renewal]): [string, Uint8Array] => {
-    const { key, value } = createHostOrderEntry(host, { epoch, renewal });
-    return [key, value!];
+    const entry = createHostOrderEntry({ host, epoch, renewal, executors: before, now: 50 });
+    return [entry.key, entry.value!];
   });
-  const waits = getHostOrderWaits({
+  const earlier = EarlierHostOrders.create({
     stored: [...stored, ["job/a", new Uint8Array()]],
-    previous,
+    previousClaim,
     leaseMilliseconds: 3_000,
+    startedAt: 0,
   });
-  return Object.fromEntries(waits);
+  const executors = new Map(now.map((executor) => [executor.id, executor]));
+  return Object.fromEntries(ORDERS.map(([host]) => {
+    let wait = 0;
+    while (earlier.isBinding(host, wait, executors)) wait += 100;
+    return [host, wait];
+  }));
 }
 
 test("a new owner leaves alone what was ordered of late, and the rest not at all", (t) => {
@@ -40,3 +70,17 @@
     "there was no owner": getWaits(undefined),
   });
 });
+
+test("the clocks of executors tell how long all entry hosts were away", (t) => {
+  const reborn = createExecutor("i-2", 900_000);
+  reborn.entry = { ...reborn.entry, born: 2_000 };
+  const silent = createExecutor("i-1", 900_000);
+  silent.isFenced = false;
+  t.snapshot({
+    "away for a second": getWaits(PREVIOUS, [createExecutor("i-1", 61_050)]),
+    "away for five seconds": getWaits(PREVIOUS, [createExecutor("i-1", 65_050)]),
+    "one clock started anew": getWaits(PREVIOUS, [reborn]),
+    "one executor has not answered yet": getWaits(PREVIOUS, [silent]),
+    "the other one has": getWaits(PREVIOUS, [silent, createExecutor("i-2", 13_050)]),
+  });
+});
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -48,6 +48,14 @@
   retryAt: number;
 }
 
+/** What is stored of a wave. */
+interface WaveRecord {
+  done: string[];
+  /** The hosts that were ordered and not seen back: they may be away, or yet be taken away. */
+  ordered: string[];
+  isCompleted: boolean;
+}
+
 interface WaveProgress {
   wave: MaintenanceWave;
   places: Map<string, Place>;
@@ -73,14 +81,14 @@
 export class Maintenance {
   readonly #options: MaintenanceOptions;
   readonly #waves = new Map<number, WaveProgress>();
-  readonly #doneBefore = new Map<number, { done: string[]; isCompleted: boolean }>();
+  readonly #before = new Map<number, WaveRecord>();
 
   private constructor(options: MaintenanceOptions) {
     this.#options = options;
     for (const [key, value] of options.stored) {
       if (!key.startsWith(WAVE_PREFIX)) continue;
-      const record = decoder.decode(value) as { done: string[]; isCompleted: boolean };
-      this.#doneBefore.set(Number(key.slice(WAVE_PREFIX.length)), record);
+      const record = decoder.decode(value) as WaveRecord;
+      this.#before.set(Number(key.slice(WAVE_PREFIX.length)), record);
     }
   }
 
@@ -141,11 +149,14 @@
 
   #addWave(wave: MaintenanceWave): void {
     const { state } = this.#options;
-    const before = this.#doneBefore.get(wave.number);
-    const done = new Set(before?.done ?? []);
+    const before = this.#before.get(wave.number);
+    const done = new Set(before?.done);
+    const ordered = new Set(before?.ordered);
     const places = wave.hosts.map((name): [string, Place] => [name, {
       name,
-      stage: done.has(name) ? Stage.Done : Stage.Waiting,
+      // What an earlier owner ordered counts against the ceiling, and is ordered again: once done,
+      // that has no effect.
+      stage: done.has(name) ? Stage.Done : ordered.has(name) ? Stage.Emptying : Stage.Waiting,
       since: state.now,
       executorId: "",
       retryAt: 0,
@@ -210,6 +221,8 @@
           this.#setStage(place, Stage.Done);
           return hosts.release(place.name);
         }
+        // A host that an earlier owner ordered is not reserved by this one yet.
+        hosts.reserve(host, "maintenance");
         hosts.empty(host);
         if (state.now - place.since > PATIENCE_MILLISECONDS) hosts.clear(host);
         if (!hosts.isEmpty(host) || !hosts.mayOrder(host.name)) return;
@@ -288,10 +301,14 @@
   }
 
   #createEntry(progress: WaveProgress): JournalEntry {
-    const done = [...progress.places.values()]
-      .filter(({ stage }) => stage === Stage.Done)
-      .map(({ name }) => name);
-    const value = encoder.encode({ done, isCompleted: progress.isCompleted });
-    return { key: WAVE_PREFIX + progress.wave.number, value };
+    const places = [...progress.places.values()];
+    const getNames = (stages: readonly Stage[]) =>
+      places.filter(({ stage }) => stages.includes(stage)).map(({ name }) => name);
+    const record: WaveRecord = {
+      done: getNames([Stage.Done]),
+      ordered: getNames([Stage.Storing, Stage.Ordered, Stage.Away]),
+      isCompleted: progress.isCompleted,
+    };
+    return { key: WAVE_PREFIX + progress.wave.number, value: encoder.encode(record) };
   }
 }
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -21,7 +21,7 @@
 import type { Advice } from "./advice_control.ts";
 import { FleetOwner } from "./fleet_owner.ts";
 import type { OwnerLimits } from "./fleet_state.ts";
-import { getHostOrderWaits } from "./host_order_records.ts";
+import { EarlierHostOrders } from "./host_order_records.ts";
 import type { CapacityTerms } from "./pool_need.ts";
 import { readStoredJobs } from "./job_records.ts";
 import type {
@@ -309,10 +309,11 @@
     const { jobs, unreadable } = readStoredJobs(this.#stored);
     for (const { key, reason } of unreadable) log("journal-entry-unreadable", { key, reason });
     const startedAt = getSteady();
-    const hostOrderWaits = getHostOrderWaits({
+    const earlierHostOrders = EarlierHostOrders.create({
       stored: this.#stored,
-      previous: previousClaim,
+      previousClaim,
       leaseMilliseconds: this.#options.providerLeaseMilliseconds,
+      startedAt,
     });
     this.#owner = FleetOwner.create({
       fence: epoch,
@@ -324,7 +325,7 @@
       configuration: this.#configuration,
       jobs,
       stored: this.#stored,
-      hostOrderWaits,
+      earlierHostOrders,
       capacityTerms: CAPACITY_TERMS,
       maintenanceMilliseconds: this.#options.maintenanceMilliseconds,
       executors: this.#entries,
@@ -338,7 +339,6 @@
       epoch,
       handedOver: previousClaim?.isReleased === true,
       previousRenewal: previousClaim?.renewal,
-      waitingHosts: hostOrderWaits.size,
       jobs: jobs.length,
       executors: this.#entries.length,
       took: Math.round(milliseconds),
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -112,7 +112,9 @@
     });
     switch (answer.outcome) {
       case OrderOutcome.Unanswered:
-        if (run.stage === RunStage.Ordered) run.stage = RunStage.InDoubt;
+        // A report that lists the run, or its stop, has settled what the answer would have told.
+        if (run.stage !== RunStage.Ordered) return;
+        run.stage = RunStage.InDoubt;
         return this.stop(executor, assigned, "start-unanswered");
       case OrderOutcome.Fenced:
         return state.depose(executorId);
--- a/src/platform/stand_in/executor_model.ts
+++ b/src/platform/stand_in/executor_model.ts
@@ -42,8 +42,8 @@
   planRun: (task: string, run: number) => RunPlan;
   /** Sees every start. */
   onStart: (run: ModelRun) => void;
-  /** Sees every end. */
-  onEnd: (run: ModelRun, end: RunEnd) => void;
+  /** Sees every end, and whether a lasting run was at work. */
+  onEnd: (run: ModelRun, end: RunEnd, isAtWork: boolean) => void;
 }
 
 /** An order to start, as the model takes it. */
@@ -156,22 +156,30 @@
     return Math.floor(100 * age / run.plan.milliseconds);
   }
 
+  /** Gets whether a lasting run is at work. */
+  isAtWork(run: ModelRun, now: number): boolean {
+    return run.plan.milliseconds === Infinity && this.getPercent(run, now) === 100;
+  }
+
   /** Ends what is over at a time. */
   advance(now: number): void {
     const isLapsed = this.isLapsed(now);
     for (const run of [...this.running.values()]) {
-      if (isLapsed) this.#end(run, RunEnd.Lapsed);
-      else if (now >= run.startedAt + run.plan.milliseconds) this.#end(run, run.plan.end);
-      else if (run.stoppedAt !== undefined && now >= run.stoppedAt) this.#end(run, RunEnd.Stopped);
+      if (isLapsed) this.#end(run, RunEnd.Lapsed, now);
+      else if (now >= run.startedAt + run.plan.milliseconds) this.#end(run, run.plan.end, now);
+      else if (run.stoppedAt !== undefined && now >= run.stoppedAt) {
+        this.#end(run, RunEnd.Stopped, now);
+      }
     }
   }
 
-  #end(run: ModelRun, end: RunEnd): void {
+  #end(run: ModelRun, end: RunEnd, now: number): void {
+    const isAtWork = this.isAtWork(run, now);
     this.running.delete(run.task);
     this.#highest.set(run.task, Math.max(run.run, this.#highest.get(run.task) ?? 0));
     this.#lastEnd += 1;
     this.#ended.push({ number: this.#lastEnd, task: run.task, run: run.run, end });
-    this.#options.onEnd(run, end);
+    this.#options.onEnd(run, end, isAtWork);
   }
 
   #acceptFence(fence: number): boolean {
--- /dev/null
+++ b/src/platform/stand_in/fleet_checks.ts
@@ -0,0 +1,228 @@
+/** Checks the promises on what is seen of executors, hosts and the owner's answers. */
+
+import type { ConfigurationData } from "../../fleet/configuration.ts";
+import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
+import {
+  type JobSpecification,
+  parseTaskName,
+  type StepSpecification,
+} from "../../fleet/job_specification.ts";
+import { addResources, type Resources } from "../../fleet/resources.ts";
+import { RunEnd } from "../../fleet/run.ts";
+import type { ExecutorModel, ModelRun } from "./executor_model.ts";
+
+/** How long an acknowledged cancel or request may take until no start follows, in milliseconds. */
+const REACTION_MILLISECONDS = 1_000;
+
+/** Options of `FleetChecks`. */
+export interface FleetChecksOptions {
+  /** What operators have published. */
+  configuration: ConfigurationData;
+  /** After how long a task that is away for any cause counts as away, in milliseconds. */
+  noticeMilliseconds: number;
+}
+
+interface KnownJob {
+  customer: string;
+  specification: JobSpecification;
+}
+
+/** A lasting task that is not at work. */
+interface Absence {
+  since: number;
+  /** Whether an order of the owner ended it. */
+  isOrdered: boolean;
+}
+
+/** What was seen of the fleet, and the promises that it broke. */
+export class FleetChecks {
+  /** The promises that were broken, as lines. */
+  readonly violations: string[] = [];
+  readonly #options: FleetChecksOptions;
+  readonly #jobs = new Map<string, KnownJob>();
+  readonly #cancelledAt = new Map<string, number>();
+  readonly #done = new Set<string>();
+  /** The tasks whose end was lost with its executor: they may start again. */
+  readonly #lost = new Set<string>();
+  readonly #failures = new Map<string, number>();
+  readonly #runningTasks = new Map<string, string>();
+  readonly #evacuatedAt = new Map<string, number>();
+  readonly #drainedAt = new Map<string, number>();
+  /** The lasting tasks that are not at work, by name. */
+  readonly #absences = new Map<string, Absence>();
+
+  private constructor(options: FleetChecksOptions) {
+    this.#options = options;
+  }
+
+  /** Creates checks that have seen nothing. */
+  static create(options: FleetChecksOptions): FleetChecks {
+    return new FleetChecks(options);
+  }
+
+  /** Gets a step of a job that callers submitted. */
+  getStep(task: string): StepSpecification | undefined {
+    const name = parseTaskName(task);
+    return name && this.#jobs.get(name.jobId)?.specification.steps[name.step];
+  }
+
+  /** Notes that a caller submits a job. */
+  addJob(id: string, customer: string, specification: JobSpecification): void {
+    this.#jobs.set(id, { customer, specification });
+  }
+
+  /** Notes that a cancel was acknowledged. */
+  addCancel(id: string, now: number): void {
+    this.#cancelledAt.set(id, now);
+  }
+
+  /** Notes that a zone was taken out. */
+  addEvacuation(zone: string, now: number): void {
+    this.#evacuatedAt.set(zone, now);
+  }
+
+  /** Notes that an executor announced that it leaves. */
+  addDrain(id: string, now: number): void {
+    this.#drainedAt.set(id, now);
+  }
+
+  /** Notes that an executor has begun a new life, which drains no more. */
+  addBirth(id: string): void {
+    this.#drainedAt.delete(id);
+  }
+
+  /** Notes that ends were lost before anybody took note of them: they count for nothing. */
+  addLost(tasks: Iterable<string>): void {
+    for (const task of tasks) this.#lost.add(task);
+  }
+
+  /** Notes a broken promise. */
+  addViolation(rule: string, what: string): void {
+    if (this.violations.length < 20) this.violations.push(`${rule}: ${what}`);
+  }
+
+  /** Judges a start. */
+  handleStart(entry: ExecutorEntry, run: ModelRun, now: number): void {
+    const name = parseTaskName(run.task);
+    const job = name && this.#jobs.get(name.jobId);
+    if (name === undefined || job === undefined) return this.addViolation("UNASKED", run.task);
+    const step = job.specification.steps[name.step]!;
+    if (this.#runningTasks.has(run.task)) this.addViolation("TWICE", `${run.task} runs already`);
+    if (this.#done.has(run.task) && !this.#lost.has(run.task)) {
+      this.addViolation("TWICE", `${run.task} is done`);
+    }
+    this.#runningTasks.set(run.task, entry.id);
+    for (const earlier of step.after) {
+      const { count } = job.specification.steps[earlier]!;
+      for (let index = 0; index < count; index += 1) {
+        const needed = `${name.jobId}.${name.occurrence}.${earlier}.${index}`;
+        if (!this.#done.has(needed)) this.addViolation("ORDER", `${run.task} before ${needed}`);
+      }
+    }
+    const isOverBudget = (this.#failures.get(run.task) ?? 0) >= this.#getAttemptLimit();
+    if (!step.isLasting && isOverBudget && !this.#lost.has(run.task)) {
+      this.addViolation("BUDGET", run.task);
+    }
+    const isLate = (at: number | undefined) => at !== undefined && now > at + REACTION_MILLISECONDS;
+    if (isLate(this.#cancelledAt.get(name.jobId))) {
+      this.addViolation("UNASKED", `${run.task} after its cancel`);
+    }
+    if (isLate(this.#evacuatedAt.get(entry.zone))) {
+      this.addViolation("EVAC", `${run.task} in ${entry.zone}`);
+    }
+    if (isLate(this.#drainedAt.get(entry.id))) {
+      this.addViolation("DRAIN", `${run.task} on ${entry.id}`);
+    }
+    if (step.label !== undefined && !entry.labels.includes(step.label)) {
+      this.addViolation("ROUTE", `${run.task} without ${step.label}`);
+    }
+    if (step.isLasting) {
+      this.#absences.set(run.task, {
+        since: this.#absences.get(run.task)?.since ?? now,
+        isOrdered: this.#absences.get(run.task)?.isOrdered ?? false,
+      });
+    }
+  }
+
+  /** Judges an end; `isAtWork` tells whether a lasting task was at work. */
+  handleEnd(run: ModelRun, end: RunEnd, now: number, isAtWork: boolean): void {
+    this.#runningTasks.delete(run.task);
+    if (end === RunEnd.Done) this.#done.add(run.task);
+    if (end === RunEnd.Failed) {
+      this.#failures.set(run.task, (this.#failures.get(run.task) ?? 0) + 1);
+    }
+    if (this.getStep(run.task)?.isLasting !== true) return;
+    const isOrdered = end === RunEnd.Stopped;
+    if (isOrdered && isAtWork) this.#judgeAbsence(run.task, now);
+    const before = this.#absences.get(run.task);
+    this.#absences.set(run.task, {
+      since: isAtWork ? now : before?.since ?? now,
+      isOrdered: isOrdered || (!isAtWork && before?.isOrdered === true),
+    });
+  }
+
+  /** Notes that a lasting task is at work. */
+  addAtWork(task: string): void {
+    this.#absences.delete(task);
+  }
+
+  /** Judges that a host is taken away with what runs on its executor. */
+  handleTaken(runs: Iterable<[run: ModelRun, isAtWork: boolean]>, now: number): void {
+    for (const [run, isAtWork] of runs) this.handleEnd(run, RunEnd.Stopped, now, isAtWork);
+  }
+
+  /** Checks that a job is shown as failed only if a task of it has failed as often as it may. */
+  checkShownJobs(getState: (id: string) => string | undefined): void {
+    const limit = this.#getAttemptLimit();
+    for (const id of this.#jobs.keys()) {
+      if (getState(id) !== "failed") continue;
+      const hasCause = [...this.#failures].some(([task, count]) =>
+        task.startsWith(`${id}.`) && count >= limit
+      );
+      if (!hasCause) this.addViolation("LOST", `${id} is shown as failed`);
+    }
+  }
+
+  /** Checks what holds over all executors together. */
+  checkRoom(
+    models: ReadonlyMap<string, ExecutorModel>,
+    entries: ReadonlyMap<string, ExecutorEntry>,
+  ) {
+    const byCustomer = new Map<string, Resources>();
+    for (const [id, model] of models) {
+      const used = { cpu: 0, memory: 0, accelerators: 0 };
+      for (const run of model.running.values()) {
+        const job = this.#jobs.get(parseTaskName(run.task)!.jobId)!;
+        const { demand } = this.getStep(run.task)!;
+        addResources(used, demand);
+        const total = byCustomer.get(job.customer) ?? { cpu: 0, memory: 0, accelerators: 0 };
+        addResources(total, demand);
+        byCustomer.set(job.customer, total);
+      }
+      const { capacity } = entries.get(id)!;
+      if (used.cpu > capacity.cpu || used.memory > capacity.memory) this.addViolation("LIMIT", id);
+    }
+    for (const customer of this.#options.configuration.customers) {
+      const used = byCustomer.get(customer.name);
+      if (used === undefined || customer.ceiling.cpu === 0) continue;
+      if (used.cpu > customer.ceiling.cpu * 1.1) this.addViolation("QUOTA", customer.name);
+    }
+  }
+
+  /** Judges that an order ends a lasting task at work: enough others of its step must not be away. */
+  #judgeAbsence(task: string, now: number): void {
+    const step = this.getStep(task);
+    if (step === undefined || step.mostAway === 0) return;
+    const prefix = task.slice(0, task.lastIndexOf(".") + 1);
+    let away = 0;
+    for (const [name, { since, isOrdered }] of this.#absences) {
+      if (name === task || !name.startsWith(prefix)) continue;
+      if (isOrdered || now - since >= this.#options.noticeMilliseconds) away += 1;
+    }
+    if (away >= step.mostAway) this.addViolation("AVAIL", `${task} with ${away} others away`);
+  }
+
+  #getAttemptLimit(): number {
+    return this.#options.configuration.queues[0]!.attemptLimit;
+  }
+}
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -5,20 +5,36 @@
 import type { EventLog } from "../../events/mod.ts";
 import { Configuration, type ConfigurationData } from "../../fleet/configuration.ts";
 import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
-import { type JobSpecification, parseTaskName } from "../../fleet/job_specification.ts";
-import { addResources, type Resources } from "../../fleet/resources.ts";
+import type { Host } from "../../fleet/host.ts";
+import type { JobSpecification } from "../../fleet/job_specification.ts";
+import type { MaintenanceWave } from "../../fleet/maintenance_wave.ts";
 import { RunEnd } from "../../fleet/run.ts";
 import { FleetOwner } from "../../owner/fleet_owner.ts";
+import { EarlierHostOrders } from "../../owner/host_order_records.ts";
 import { readStoredJobs } from "../../owner/job_records.ts";
 import { type JournalEntry, OrderOutcome, type OwnerPorts } from "../../owner/owner_ports.ts";
+import type { Claim } from "../../ownership/ownership_ports.ts";
+import { RENEWAL_MILLISECONDS } from "../../ownership/ownership_task.ts";
 import { ExecutorModel, type ModelRun, type RunPlan } from "./executor_model.ts";
+import { FleetChecks } from "./fleet_checks.ts";
+import { ProviderModel } from "./provider_model.ts";
 
 /** The lease that the owner grants, in milliseconds. */
 const LEASE_MILLISECONDS = 3_000;
 /** How long an order without an answer is waited for, in milliseconds. */
 const ORDER_TIMEOUT_MILLISECONDS = 700;
-/** How long an acknowledged cancel or request may take until no start follows, in milliseconds. */
-const REACTION_MILLISECONDS = 1_000;
+/** How long a stop takes on an executor, in milliseconds. */
+const STOP_MILLISECONDS = 300;
+/** How long a host is away for a move, in milliseconds. */
+const MOVE_MILLISECONDS = 1_500;
+/** How long a host is away for maintenance, in milliseconds. */
+const MAINTENANCE_MILLISECONDS = 2_000;
+/** After how long a task that is away for any cause counts as away, in milliseconds. */
+const NOTICE_MILLISECONDS = 4_500;
+/** How long a change of the executors takes until the owner sees it, in milliseconds. */
+const LISTING_MILLISECONDS = 100;
+/** How far time goes at a step, in milliseconds: the owner's own. */
+const STEP_MILLISECONDS = 25;
 
 /** What goes wrong in a run of the world. */
 export interface WorldFaults {
@@ -42,6 +58,8 @@
   hidesEvacuation?: boolean;
   /** Whether a new owner finds no records of what ran. */
   losesJournal?: boolean;
+  /** Whether a new owner finds no records of orders for hosts. */
+  losesHostOrders?: boolean;
 }
 
 /** Options of a `FleetWorld`. */
@@ -52,8 +70,12 @@
   faults: WorldFaults;
   /** What operators have published. */
   configuration: ConfigurationData;
-  /** The executors. */
-  executors: readonly ExecutorEntry[];
+  /** The executors that are on no host of the provider. */
+  executors?: readonly ExecutorEntry[];
+  /** The provider's hosts; each in a pool that is no spare one has an executor. */
+  hosts?: readonly Host[];
+  /** Decides how a run goes. */
+  planRun?: (task: string) => RunPlan;
   /** What the owner is told falsely. */
   lies?: WorldLies;
 }
@@ -65,36 +87,48 @@
 
 /** The fleet, its owner, and what was seen of both. */
 export class FleetWorld {
-  /** The promises that were broken, as lines. */
-  readonly violations: string[] = [];
   /** What happened, by kind. */
   readonly counts: Record<string, number> = {};
+  /** For how long hosts were in pools that are paid for, in milliseconds. */
+  pooledMilliseconds = 0;
   readonly #options: FleetWorldOptions;
+  readonly #checks: FleetChecks;
+  readonly #provider: ProviderModel;
   readonly #random: () => number;
   readonly #models = new Map<string, ExecutorModel>();
   readonly #entries = new Map<string, ExecutorEntry>();
   readonly #journal = new Map<string, Uint8Array>();
-  readonly #jobs = new Map<string, { customer: string; specification: JobSpecification }>();
-  readonly #cancelledAt = new Map<string, number>();
-  readonly #done = new Set<string>();
-  /** The tasks whose end was lost with its executor: they may start again. */
-  readonly #lost = new Set<string>();
-  readonly #failures = new Map<string, number>();
-  readonly #runningTasks = new Map<string, string>();
-  readonly #evacuatedAt = new Map<string, number>();
+  readonly #evacuatedZones = new Set<string>();
+  readonly #waves = new Map<number, MaintenanceWave>();
+  readonly #completedWaves = new Set<number>();
   readonly #events: Event[] = [];
   #owner: FleetOwner | undefined;
   #fence = 0;
+  #ownedSince = 0;
   #storedAt = 0;
+  #lives = 0;
   #now = 0;
 
   private constructor(options: FleetWorldOptions) {
     this.#options = options;
     this.#random = createRandom(options.seed);
-    for (const entry of options.executors) {
+    this.#checks = FleetChecks.create({
+      configuration: options.configuration,
+      noticeMilliseconds: NOTICE_MILLISECONDS,
+    });
+    for (const entry of options.executors ?? []) {
       this.#entries.set(entry.id, entry);
       this.#models.set(entry.id, this.#createModel(entry));
     }
+    this.#provider = ProviderModel.create({
+      hosts: options.hosts ?? [],
+      moveMilliseconds: MOVE_MILLISECONDS,
+      maintenanceMilliseconds: MAINTENANCE_MILLISECONDS,
+      leaseMilliseconds: LEASE_MILLISECONDS,
+      onTaken: (host) => this.#takeExecutor(host),
+      onReturned: (host) => this.#createExecutor(host),
+      onBroken: (rule, what) => this.#checks.addViolation(rule, what),
+    });
   }
 
   /** Creates a world with its first owner. */
@@ -109,9 +143,29 @@
     return this.#now;
   }
 
+  /** Gets the promises that were broken, as lines. */
+  get violations(): readonly string[] {
+    return this.#checks.violations;
+  }
+
+  /** Gets the ids of the executors that live. */
+  getExecutorIds(): string[] {
+    return [...this.#entries.keys()];
+  }
+
+  /** Gets the number of moves of hosts so far. */
+  getMoves(): number {
+    return this.#provider.moves;
+  }
+
+  /** Gets whether operators were told that a wave is completed. */
+  isCompleted(wave: number): boolean {
+    return this.#completedWaves.has(wave);
+  }
+
   /** Submits a job. */
   submit(id: string, queue: string, customer: string, specification: JobSpecification): void {
-    this.#jobs.set(id, { customer, specification });
+    this.#checks.addJob(id, customer, specification);
     const told = this.#options.lies?.job?.(specification) ?? specification;
     this.#withOwner((owner) =>
       owner.submit({ id, queue, customer, specification: told }, () => this.#count("accepted"))
@@ -120,19 +174,29 @@
 
   /** Cancels a job. */
   cancel(id: string): void {
-    this.#withOwner((owner) => owner.cancel(id, () => this.#cancelledAt.set(id, this.#now)));
+    this.#withOwner((owner) => owner.cancel(id, () => this.#checks.addCancel(id, this.#now)));
   }
 
   /** Takes a zone out. */
   evacuate(zone: string): void {
-    this.#evacuatedAt.set(zone, this.#now);
+    this.#evacuatedZones.add(zone);
+    this.#checks.addEvacuation(zone, this.#now);
+    this.#tellRequests();
+  }
+
+  /** Asks for a wave of maintenance. */
+  askWave(wave: MaintenanceWave): void {
+    this.#waves.set(wave.number, wave);
     this.#tellRequests();
   }
 
   /** Lets an executor announce that it leaves. */
   drain(id: string): void {
     const entry = this.#entries.get(id);
-    if (entry !== undefined) this.#entries.set(id, { ...entry, isDraining: true });
+    if (entry !== undefined) {
+      this.#entries.set(id, { ...entry, isDraining: true });
+      this.#checks.addDrain(id, this.#now);
+    }
     this.#tellExecutors();
   }
 
@@ -141,8 +205,11 @@
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
     const model = this.#models.get(id)!;
-    for (const run of model.running.values()) this.#runningTasks.delete(run.task);
-    this.#lose(model);
+    for (const run of model.running.values()) {
+      this.#checks.handleEnd(run, RunEnd.Lapsed, this.#now, model.isAtWork(run, this.#now));
+    }
+    this.#checks.addLost(model.getUnacknowledged());
+    this.#checks.addBirth(id);
     const reborn = { ...entry, born: entry.born + 1, isDraining: false };
     this.#entries.set(id, reborn);
     this.#models.set(id, this.#createModel(reborn));
@@ -152,15 +219,17 @@
   /** Puts a new owner in the place of the present one, which can do nothing more that counts. */
   replaceOwner(): void {
     const { lies, configuration } = this.#options;
+    const previousClaim = this.#getClaim();
+    const stored = this.#getStored();
     this.#fence += 1;
+    this.#ownedSince = this.#now;
     const fence = this.#fence;
-    const stored = lies?.losesJournal ? this.#getAcceptedOnly() : [...this.#journal];
     const data = lies?.configuration?.(configuration) ?? configuration;
     this.#owner = FleetOwner.create({
       fence,
       limits: {
         rememberMilliseconds: 120_000,
-        stopMilliseconds: 300,
+        stopMilliseconds: STOP_MILLISECONDS,
         farFactor: 1.5,
         earlierLeaseMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS,
       },
@@ -178,8 +247,13 @@
         spareHosts: 1,
         fewestHosts: 1,
       },
-      hostOrderWaits: new Map(),
-      maintenanceMilliseconds: 2_000,
+      earlierHostOrders: EarlierHostOrders.create({
+        stored,
+        previousClaim,
+        leaseMilliseconds: LEASE_MILLISECONDS,
+        startedAt: this.#now,
+      }),
+      maintenanceMilliseconds: MAINTENANCE_MILLISECONDS,
       executors: this.#getToldEntries(),
       doubtMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS + 200,
     });
@@ -189,13 +263,19 @@
   /** Lets time pass. */
   run(milliseconds: number): void {
     const end = this.#now + milliseconds;
-    for (let tickAt = this.#now; tickAt < end; tickAt += 25) {
+    for (let tickAt = this.#now; tickAt < end; tickAt += STEP_MILLISECONDS) {
       this.#runEvents(tickAt);
       this.#now = tickAt;
+      this.#provider.advance(tickAt);
       for (const model of this.#models.values()) {
-        model.advance(this.#now);
-        if (model.isLapsed(this.#now)) this.#lose(model);
+        model.advance(tickAt);
+        if (model.isLapsed(tickAt)) this.#checks.addLost(model.getUnacknowledged());
+        for (const run of model.running.values()) {
+          if (model.isAtWork(run, tickAt)) this.#checks.addAtWork(run.task);
+        }
       }
+      const pooled = this.#provider.list().filter(({ pool }) => !this.#isSpare(pool));
+      this.pooledMilliseconds += pooled.length * STEP_MILLISECONDS;
       this.#withOwner((owner) => owner.tick());
       this.#check();
     }
@@ -208,10 +288,9 @@
 
   #runEvents(until: number): void {
     for (;;) {
-      this.#events.sort((first, second) => first.at - second.at);
-      const next = this.#events[0];
+      const next = this.#events.at(-1);
       if (next === undefined || next.at > until) return;
-      this.#events.shift();
+      this.#events.pop();
       this.#now = next.at;
       next.run();
     }
@@ -222,7 +301,7 @@
     owner.setMoment({
       now: this.#now,
       timeOfDay: this.#now,
-      renewal: 0,
+      renewal: this.#getClaim()?.renewal ?? 0,
       mayStart: true,
       mayExtend: true,
       leaseMilliseconds: LEASE_MILLISECONDS,
@@ -274,10 +353,27 @@
           ));
       },
       askAdvice: () => {},
-      listHosts: () => {},
-      maintain: () => {},
-      move: () => {},
-      writeStatus: () => {},
+      listHosts: () => {
+        if (this.#options.hosts === undefined) return;
+        this.#schedule(1 + this.#random() * 8, () => {
+          const hosts = this.#provider.list();
+          answer((owner) => owner.setHosts(hosts));
+        });
+      },
+      maintain: (order) =>
+        this.#schedule(1 + this.#random() * 8, () => {
+          const outcome = this.#provider.maintain(order, order.wave, this.#now);
+          this.#checkWave(order.wave);
+          answer((owner) => owner.handleMaintainAnswer(order, outcome));
+        }),
+      move: (order) =>
+        this.#schedule(1 + this.#random() * 8, () => {
+          const outcome = this.#provider.move(order, order.pool, this.#now);
+          answer((owner) => owner.handleMoveAnswer(order, outcome));
+        }),
+      writeStatus: (wave, isCompleted) => {
+        if (isCompleted) this.#completeWave(wave);
+      },
       write: (entries, onStored) => {
         // Appends are stored in the order in which they were sent.
         this.#storedAt = Math.max(this.#storedAt, this.#now + 3 + this.#random() * 8);
@@ -323,7 +419,11 @@
   }
 
   #schedule(delay: number, run: () => void): void {
-    this.#events.push({ at: this.#now + delay, run });
+    const at = this.#now + delay;
+    // The events are kept from the last to the first, so that the next one is popped.
+    let index = this.#events.length;
+    while (index > 0 && this.#events[index - 1]!.at <= at) index -= 1;
+    this.#events.splice(index, 0, { at, run });
   }
 
   #createModel(entry: ExecutorEntry): ExecutorModel {
@@ -331,113 +431,104 @@
       capacity: entry.capacity,
       born: entry.born,
       startedAt: this.#now,
-      stopMilliseconds: 300,
+      stopMilliseconds: STOP_MILLISECONDS,
       startupMilliseconds: 200,
-      planRun: (task) => this.#planRun(task),
-      onStart: (run) => this.#handleStart(entry, run),
-      onEnd: (run, end) => this.#handleEnd(run, end),
+      planRun: this.#options.planRun ?? ((task) => this.#planRun(task)),
+      onStart: (run) => {
+        this.#count("started");
+        this.#checks.handleStart(this.#entries.get(entry.id) ?? entry, run, this.#now);
+      },
+      onEnd: (run, end, isAtWork) => {
+        this.#count(end);
+        this.#checks.handleEnd(run, end, this.#now, isAtWork);
+      },
     });
   }
 
   #planRun(task: string): RunPlan {
-    const name = parseTaskName(task)!;
-    const step = this.#jobs.get(name.jobId)?.specification.steps[name.step];
+    const step = this.#checks.getStep(task);
     const isFailing = this.#random() < this.#options.faults.failingPart;
     if (step?.isLasting && !isFailing) return { milliseconds: Infinity, end: RunEnd.Done };
     const milliseconds = (step?.estimatedMilliseconds ?? 100) * (0.5 + this.#random());
     return { milliseconds, end: isFailing ? RunEnd.Failed : RunEnd.Done };
   }
 
-  #handleStart(entry: ExecutorEntry, run: ModelRun): void {
-    this.#count("started");
-    const name = parseTaskName(run.task);
-    const job = name && this.#jobs.get(name.jobId);
-    if (name === undefined || job === undefined) return this.#break("UNASKED", run.task);
-    const step = job.specification.steps[name.step]!;
-    if (this.#runningTasks.has(run.task)) this.#break("TWICE", `${run.task} runs already`);
-    if (this.#done.has(run.task) && !this.#lost.has(run.task)) {
-      this.#break("TWICE", `${run.task} is done`);
-    }
-    this.#runningTasks.set(run.task, entry.id);
-    for (const earlier of step.after) {
-      const { count } = job.specification.steps[earlier]!;
-      for (let index = 0; index < count; index += 1) {
-        const needed = `${name.jobId}.${name.occurrence}.${earlier}.${index}`;
-        if (!this.#done.has(needed)) this.#break("ORDER", `${run.task} before ${needed}`);
-      }
-    }
-    const limit = this.#options.configuration.queues[0]!.attemptLimit;
-    if (
-      !step.isLasting && (this.#failures.get(run.task) ?? 0) >= limit && !this.#lost.has(run.task)
-    ) {
-      this.#break("BUDGET", run.task);
-    }
-    const cancelledAt = this.#cancelledAt.get(name.jobId);
-    if (cancelledAt !== undefined && this.#now > cancelledAt + REACTION_MILLISECONDS) {
-      this.#break("UNASKED", `${run.task} after its cancel`);
-    }
-    const evacuatedAt = this.#evacuatedAt.get(entry.zone);
-    if (evacuatedAt !== undefined && this.#now > evacuatedAt + REACTION_MILLISECONDS) {
-      this.#break("EVAC", `${run.task} in ${entry.zone}`);
-    }
-    if (step.label !== undefined && !entry.labels.includes(step.label)) {
-      this.#break("ROUTE", `${run.task} without ${step.label}`);
-    }
+  #check(): void {
+    this.#checks.checkShownJobs((id) => this.#owner?.getJobState(id));
+    this.#checks.checkRoom(this.#models, this.#entries);
   }
 
-  #handleEnd(run: ModelRun, end: RunEnd): void {
-    this.#count(end);
-    this.#runningTasks.delete(run.task);
-    if (end === RunEnd.Done) this.#done.add(run.task);
-    if (end === RunEnd.Failed) {
-      this.#failures.set(run.task, (this.#failures.get(run.task) ?? 0) + 1);
-    }
+  /** Ends the executor of a host that is taken away, with all that runs there. */
+  #takeExecutor(host: Host): void {
+    const model = this.#models.get(host.executorId);
+    if (model === undefined) return;
+    const runs = [...model.running.values()].map((run): [ModelRun, boolean] => [
+      run,
+      model.isAtWork(run, this.#now),
+    ]);
+    this.#checks.handleTaken(runs, this.#now);
+    this.#checks.addLost(model.getUnacknowledged());
+    this.#models.delete(host.executorId);
+    this.#entries.delete(host.executorId);
+    this.#tellExecutors();
   }
 
-  /** Checks that a job is shown as failed only if a task of it has failed as often as it may. */
-  #checkFailedJobs(): void {
-    const limit = this.#options.configuration.queues[0]!.attemptLimit;
-    for (const id of this.#jobs.keys()) {
-      if (this.#owner?.getJobState(id) !== "failed") continue;
-      const hasCause = [...this.#failures].some(([task, count]) =>
-        task.startsWith(`${id}.`) && count >= limit
-      );
-      if (!hasCause) this.#break("LOST", `${id} is shown as failed`);
-    }
+  /** Starts an executor on a host that is back, unless its pool is a spare one. */
+  #createExecutor(host: Host): string {
+    if (this.#isSpare(host.pool)) return "";
+    this.#lives += 1;
+    const id = `${host.name}-${this.#lives}`;
+    const entry: ExecutorEntry = {
+      id,
+      born: 1_000 + this.#now,
+      service: host.pool,
+      address: `${host.name}:80`,
+      zone: host.zone,
+      host: host.name,
+      labels: ["a", `rack-${host.zone}`],
+      capacity: host.capacity,
+      isDraining: false,
+    };
+    this.#entries.set(id, entry);
+    this.#models.set(id, this.#createModel(entry));
+    this.#tellExecutors();
+    return id;
   }
 
-  /** Checks what holds over all executors together. */
-  #check(): void {
-    this.#checkFailedJobs();
-    const byCustomer = new Map<string, Resources>();
-    for (const [id, model] of this.#models) {
-      const used = { cpu: 0, memory: 0, accelerators: 0 };
-      for (const run of model.running.values()) {
-        const name = parseTaskName(run.task)!;
-        const job = this.#jobs.get(name.jobId)!;
-        const { demand } = job.specification.steps[name.step]!;
-        addResources(used, demand);
-        const total = byCustomer.get(job.customer) ?? { cpu: 0, memory: 0, accelerators: 0 };
-        addResources(total, demand);
-        byCustomer.set(job.customer, total);
-      }
-      const { capacity } = this.#entries.get(id)!;
-      if (used.cpu > capacity.cpu || used.memory > capacity.memory) this.#break("LIMIT", id);
-    }
-    for (const customer of this.#options.configuration.customers) {
-      const used = byCustomer.get(customer.name);
-      if (used === undefined || customer.ceiling.cpu === 0) continue;
-      if (used.cpu > customer.ceiling.cpu * 1.1) this.#break("QUOTA", customer.name);
+  #isSpare(pool: string): boolean {
+    return this.#options.configuration.services.some(({ name, isSpare }) =>
+      name === pool && isSpare
+    );
+  }
+
+  #checkWave(number: number): void {
+    const wave = this.#waves.get(number);
+    if (wave !== undefined && this.#provider.getMaintainedCount() > wave.ceiling) {
+      this.#checks.addViolation("LIMIT", `wave ${number} is above its ceiling`);
     }
   }
 
-  /** Ends that nobody took note of before a crash or the end of a lease count for nothing. */
-  #lose(model: ExecutorModel): void {
-    for (const task of model.getUnacknowledged()) this.#lost.add(task);
+  #completeWave(number: number): void {
+    this.#completedWaves.add(number);
+    const left = this.#waves.get(number)?.hosts.filter((host) =>
+      !this.#provider.hasHad(host, number)
+    );
+    if (left !== undefined && left.length > 0) {
+      this.#checks.addViolation("MIXED", `wave ${number} is shown as completed without ${left}`);
+    }
   }
 
-  #break(rule: string, what: string): void {
-    if (this.violations.length < 20) this.violations.push(`${rule}: ${what}`);
+  /** Gets the present owner's claim; its renewals tell later ones how long it held. */
+  #getClaim(): Claim | undefined {
+    if (this.#owner === undefined) return undefined;
+    return {
+      epoch: this.#fence,
+      holder: `holder-${this.#fence}`,
+      hostName: "entry-1",
+      address: "10.0.0.1:7000",
+      isReleased: false,
+      renewal: Math.floor((this.#now - this.#ownedSince) / RENEWAL_MILLISECONDS),
+    };
   }
 
   #count(kind: string): void {
@@ -450,18 +541,28 @@
   }
 
   #tellExecutors(): void {
+    if (this.#owner === undefined) return;
     const entries = this.#getToldEntries();
-    this.#schedule(100, () => this.#withOwner((owner) => owner.setExecutors(entries)));
+    this.#schedule(
+      LISTING_MILLISECONDS,
+      () => this.#withOwner((owner) => owner.setExecutors(entries)),
+    );
   }
 
   #tellRequests(): void {
     if (this.#options.lies?.hidesEvacuation) return;
-    const evacuatedZones = new Set(this.#evacuatedAt.keys());
-    this.#withOwner((owner) => owner.setRequests({ evacuatedZones, waves: new Map() }));
+    const evacuatedZones = new Set(this.#evacuatedZones);
+    const waves = new Map(this.#waves);
+    this.#withOwner((owner) => owner.setRequests({ evacuatedZones, waves }));
   }
 
-  #getAcceptedOnly(): [string, Uint8Array][] {
-    return [...this.#journal].filter(([key]) => !key.startsWith("progress/"));
+  /** Gets what a new owner finds in the journal. */
+  #getStored(): [string, Uint8Array][] {
+    const { losesJournal, losesHostOrders } = this.#options.lies ?? {};
+    return [...this.#journal].filter(([key]) =>
+      !(losesJournal === true && key.startsWith("progress/")) &&
+      !(losesHostOrders === true && key.startsWith("host-order/"))
+    );
   }
 }
 
--- /dev/null
+++ b/src/platform/stand_in/provider_model.ts
@@ -0,0 +1,134 @@
+/** The provider of hosts as its protocol describes it, without clock or socket. */
+
+import { type Host, HostOrderOutcome, HostState } from "../../fleet/host.ts";
+
+/** An order for a host, as the model takes it. */
+export interface ModelHostOrder {
+  /** The host. */
+  host: string;
+  /** The fence of the owner, of which there is one for each holder. */
+  fence: number;
+}
+
+/** Options of a `ProviderModel`. */
+export interface ProviderModelOptions {
+  /** The hosts. */
+  hosts: readonly Host[];
+  /** How long a host is away for a move, in milliseconds. */
+  moveMilliseconds: number;
+  /** How long a host is away for maintenance, in milliseconds. */
+  maintenanceMilliseconds: number;
+  /** How long two holders must be apart at one host, in milliseconds. */
+  leaseMilliseconds: number;
+  /** Sees a host that is being taken away, with its executor still running. */
+  onTaken: (host: Host) => void;
+  /** Sees a host that is back in a pool; gets the id of its new executor, or empty. */
+  onReturned: (host: Host) => string;
+  /** Sees a broken promise. */
+  onBroken: (rule: string, what: string) => void;
+}
+
+interface ModelHost {
+  host: Host;
+  /** When it is back, if it is away. */
+  backAt: number | undefined;
+  /** The waves whose maintenance it has had. */
+  waves: Set<number>;
+  lastOrder: { fence: number; at: number } | undefined;
+}
+
+/** The hosts and their pools. */
+export class ProviderModel {
+  /** The number of moves so far. */
+  moves = 0;
+  readonly #options: ProviderModelOptions;
+  readonly #hosts = new Map<string, ModelHost>();
+
+  private constructor(options: ProviderModelOptions) {
+    this.#options = options;
+    for (const host of options.hosts) {
+      const executorId = options.onReturned(host);
+      const known = { ...host, executorId };
+      this.#hosts.set(host.name, {
+        host: known,
+        backAt: undefined,
+        waves: new Set(),
+        lastOrder: undefined,
+      });
+    }
+  }
+
+  /** Creates the provider with its hosts in their pools. */
+  static create(options: ProviderModelOptions): ProviderModel {
+    return new ProviderModel(options);
+  }
+
+  /** Gets all hosts. */
+  list(): Host[] {
+    return [...this.#hosts.values()].map(({ host }) => ({ ...host }));
+  }
+
+  /** Gets the number of hosts that are away for maintenance. */
+  getMaintainedCount(): number {
+    return this.list().filter(({ state }) => state === HostState.Maintenance).length;
+  }
+
+  /** Gets whether a host has had the maintenance of a wave. */
+  hasHad(host: string, wave: number): boolean {
+    return this.#hosts.get(host)?.waves.has(wave) === true;
+  }
+
+  /** Moves a host to a pool. */
+  move(order: ModelHostOrder, pool: string, now: number): HostOrderOutcome {
+    const known = this.#hosts.get(order.host);
+    if (known === undefined) return HostOrderOutcome.Impossible;
+    this.#judge(known, order, now);
+    if (known.host.pool === pool) return HostOrderOutcome.Done;
+    if (known.backAt !== undefined) return HostOrderOutcome.Busy;
+    this.moves += 1;
+    this.#take(known, HostState.Moving, now + this.#options.moveMilliseconds);
+    known.host.pool = pool;
+    return HostOrderOutcome.Done;
+  }
+
+  /** Maintains a host for a wave, once. */
+  maintain(order: ModelHostOrder, wave: number, now: number): HostOrderOutcome {
+    const known = this.#hosts.get(order.host);
+    if (known === undefined) return HostOrderOutcome.Impossible;
+    this.#judge(known, order, now);
+    if (known.waves.has(wave)) return HostOrderOutcome.Done;
+    if (known.backAt !== undefined) return HostOrderOutcome.Busy;
+    known.waves.add(wave);
+    this.#take(known, HostState.Maintenance, now + this.#options.maintenanceMilliseconds);
+    return HostOrderOutcome.Done;
+  }
+
+  /** Brings back the hosts whose time is over. */
+  advance(now: number): void {
+    for (const known of this.#hosts.values()) {
+      if (known.backAt === undefined || known.backAt > now) continue;
+      known.backAt = undefined;
+      known.host.state = HostState.Up;
+      known.host.executorId = this.#options.onReturned(known.host);
+    }
+  }
+
+  #take(known: ModelHost, state: HostState, backAt: number): void {
+    this.#options.onTaken(known.host);
+    known.host.state = state;
+    known.host.executorId = "";
+    known.backAt = backAt;
+  }
+
+  #judge(known: ModelHost, { host, fence }: ModelHostOrder, now: number): void {
+    const last = known.lastOrder;
+    if (last !== undefined && last.fence > fence) {
+      this.#options.onBroken("ONE", `${host}: fence ${fence} after ${last.fence}`);
+    }
+    const isOther = last !== undefined && last.fence < fence;
+    if (isOther && now - last.at < this.#options.leaseMilliseconds) {
+      this.#options.onBroken("ONE", `${host}: two holders within ${Math.round(now - last.at)} ms`);
+    }
+    known.lastOrder = { fence, at: now };
+  }
+}
