Write log lines whole

A batch of lines went out in one write of many kilobytes, of which the pipe takes a part.

Ruled out: the bound of waiting bytes (no line was counted as dropped).

Writes now end at a line and stay within what a pipe takes at once, 4,096 bytes.

--- a/src/events/bounded_writer.ts
+++ b/src/events/bounded_writer.ts
@@ -5,6 +5,9 @@
 /** The most bytes that wait to be taken by the stream; what comes above is dropped and counted. */
 const MOST_WAITING_BYTES = 1_000_000;
 
+/** The most bytes of one write, unless a line is longer: what a pipe takes whole or not at all. */
+const MOST_WRITTEN_BYTES = 4_096;
+
 /** The stream that lines go to. */
 export interface LineStream {
   /** Writes text. */
@@ -49,7 +52,15 @@
       this.#lines.push(`event=log-lines-dropped count=${this.#dropped}`);
       this.#dropped = 0;
     }
-    if (this.#lines.length > 0) this.#stream.write(this.#lines.join("\n") + "\n");
+    let text = "";
+    for (const line of this.#lines) {
+      if (text !== "" && text.length + line.length >= MOST_WRITTEN_BYTES) {
+        this.#stream.write(text);
+        text = "";
+      }
+      text += `${line}\n`;
+    }
+    if (text !== "") this.#stream.write(text);
     this.#lines = [];
     this.#bytes = 0;
   }
