--- a/src/platform/provider_client.ts
+++ b/src/platform/provider_client.ts
@@ -74,7 +74,12 @@
     do {
       const query = token == null ? "" : `?pageToken=${encodeURIComponent(token)}`;
       const answer = await this.#call("list-hosts", "GET", `/-/machines${query}`);
-      if (answer === undefined || answer.status !== 200) return undefined;
+      if (answer === undefined) return undefined;
+      if (answer.status !== 200) {
+        const { address, log } = this.#options;
+        log("provider-refused", { step: "list-hosts", peer: address, status: answer.status });
+        return undefined;
+      }
       const parsed = listSchema.safeParse(parseJson(answer.body));
       if (!parsed.success) {
         const reason = parsed.error.message;
