Count a wave's hosts that owners before the last one have away

Cause: a wave's record named what the writing owner had ordered, and dropped what it had itself taken over as ordered; the owner after that went above the wave's ceiling.

Ruled out: the list of hosts (it shows them as away, but too late for a host whose order is still on its way).

--- a/src/owner/fleet_hosts_test.ts
+++ b/src/owner/fleet_hosts_test.ts
@@ -144,6 +144,16 @@
   t.deepEqual(world.violations, []);
 });
 
+test("a wave's hosts that an owner before the last has away still count", (t) => {
+  // Found by random runs with more losses: seed 777.
+  const world = play({
+    seed: 1_006_491_587,
+    faults: { ...NO_FAULTS, lostPart: 0.2 },
+    happenings: ["none", "crash", "owner", "owner"],
+  });
+  t.deepEqual(world.violations, []);
+});
+
 test("a run that a report lists is not stopped because its start's answer was lost", (t) => {
   // Found by the random runs: seed 20261204, 56th run; the stop ended a lasting task at work.
   const world = play({
@@ -252,8 +262,10 @@
     ],
   ];
   const seen = cases.map(([rule, lies, happenings]) => {
-    const world = play({ seed: 7, faults: NO_FAULTS, happenings, lies });
-    return [rule, world.violations.some((line) => line.startsWith(rule))];
+    const violations = [7, 8, 9].flatMap((seed) =>
+      play({ seed, faults: NO_FAULTS, happenings, lies }).violations
+    );
+    return [rule, violations.some((line) => line.startsWith(rule))];
   });
   t.deepEqual(seen, cases.map(([rule]) => [rule, true]));
 });
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -46,6 +46,8 @@
   /** The executor that it had when it was ordered. */
   executorId: string;
   retryAt: number;
+  /** Whether this owner or an earlier one has ordered it. */
+  isOrdered: boolean;
 }
 
 /** What is stored of a wave. */
@@ -160,6 +162,7 @@
       since: state.now,
       executorId: "",
       retryAt: 0,
+      isOrdered: ordered.has(name),
     }]);
     this.#waves.set(wave.number, {
       wave,
@@ -247,6 +250,7 @@
   /** Stores that a host is ordered, then orders it. */
   #order(progress: WaveProgress, place: Place): void {
     const { state, hosts } = this.#options;
+    place.isOrdered = true;
     this.#setStage(place, Stage.Storing);
     const entries = [this.#createEntry(progress), hosts.createOrderEntry(place.name)];
     state.ports.write(entries, () => {
@@ -302,11 +306,11 @@
 
   #createEntry(progress: WaveProgress): JournalEntry {
     const places = [...progress.places.values()];
-    const getNames = (stages: readonly Stage[]) =>
-      places.filter(({ stage }) => stages.includes(stage)).map(({ name }) => name);
+    const done = places.filter(({ stage }) => stage === Stage.Done);
+    const ordered = places.filter(({ stage, isOrdered }) => stage !== Stage.Done && isOrdered);
     const record: WaveRecord = {
-      done: getNames([Stage.Done]),
-      ordered: getNames([Stage.Storing, Stage.Ordered, Stage.Away]),
+      done: done.map(({ name }) => name),
+      ordered: ordered.map(({ name }) => name),
       isCompleted: progress.isCompleted,
     };
     return { key: WAVE_PREFIX + progress.wave.number, value: encoder.encode(record) };
