--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -1,6 +1,8 @@
 /** HTTP calls to one address of the platform, over connections that are replaced when they fall silent. */
 
-import { Pool } from "undici";
+import type { Dispatcher } from "undici";
+// The whole package takes several times as long to load, which each restart of a host pays.
+import Pool from "undici/lib/dispatcher/pool.js";
 import { getErrorMessage, StepError } from "../errors/mod.ts";
 
 /** How long a connection without calls is kept, in milliseconds. */
@@ -43,6 +45,62 @@
   connections: number;
 }
 
+/** Collects one answer as its parts come, without a stream for each. */
+class AnswerCollector implements Dispatcher.DispatchHandler {
+  /** The whole answer. */
+  readonly answer: Promise<LinkAnswer>;
+  /** Whether it came too late. */
+  isGivenUp = false;
+  readonly #chunks: Buffer[] = [];
+  #status = 0;
+  #controller: Dispatcher.DispatchController | undefined;
+  #resolve!: (answer: LinkAnswer) => void;
+  #reject!: (error: unknown) => void;
+
+  private constructor() {
+    this.answer = new Promise((resolve, reject) => {
+      this.#resolve = resolve;
+      this.#reject = reject;
+    });
+  }
+
+  static create(): AnswerCollector {
+    return new AnswerCollector();
+  }
+
+  /** Takes no answer any more, and closes the connection that it would come on. */
+  giveUp(): void {
+    const error = new Error("the answer took too long");
+    this.isGivenUp = true;
+    this.#reject(error);
+    this.#controller?.abort(error);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    // A call that was given up while it waited for a connection is not sent.
+    if (this.isGivenUp) controller.abort(new Error("the call was given up"));
+    this.#controller = controller;
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+    this.#status = status;
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const [first] = this.#chunks;
+    const body = this.#chunks.length === 1 ? first! : Buffer.concat(this.#chunks);
+    this.#resolve({ status: this.#status, body });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.#reject(error);
+  }
+}
+
 /** The connections to one address. */
 export class HttpLink {
   /** The address, as IP and port. */
@@ -65,21 +123,20 @@
   /** Calls and gets the whole answer, or throws a `NoAnswerError`. */
   async call(call: LinkCall): Promise<LinkAnswer> {
     const pool = this.#pool;
-    const abort = new AbortController();
-    const timer = setTimeout(() => abort.abort(), call.timeoutMilliseconds);
+    const collector = AnswerCollector.create();
+    const timer = setTimeout(() => collector.giveUp(), call.timeoutMilliseconds);
     try {
-      const { statusCode, body } = await pool.request({
+      pool.dispatch({
         method: call.method,
         path: call.path,
         headers: call.headers ?? {},
         body: call.body ?? null,
-        signal: abort.signal,
-      });
-      return { status: statusCode, body: Buffer.from(await body.arrayBuffer()) };
+      }, collector);
+      return await collector.answer;
     } catch (error) {
-      if (abort.signal.aborted) this.#replace(pool);
+      if (collector.isGivenUp) this.#replace(pool);
       throw new NoAnswerError({
-        message: abort.signal.aborted
+        message: collector.isGivenUp
           ? `no answer within ${call.timeoutMilliseconds} ms`
           : getErrorMessage(error),
         step: call.step,
