--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -14,13 +14,12 @@
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { EventLog } from "../events/mod.ts";
 import { getErrorMessage } from "../errors/mod.ts";
+import { AnswerTimeout } from "./answer_timeout.ts";
 import { HttpLink, type LinkAnswer } from "./http_link.ts";
 import { parseJson } from "./store_client.ts";
 
 /** The most connections to one executor: one for the look, the others for orders. */
 const EXECUTOR_CONNECTIONS = 4;
-/** How long an executor may take for an order, in milliseconds; they answer in a few. */
-const ORDER_TIMEOUT_MILLISECONDS = 700;
 const JSON_HEADERS = { "content-type": "application/json" };
 
 const answerSchema = z.object({ clockMs: z.number().optional(), reason: z.string().optional() });
@@ -45,9 +44,15 @@
 
 const RUN_ENDS: ReadonlySet<string> = new Set(Object.values(RunEnd));
 
+/** The connections to one executor, and how long its answers are waited for. */
+interface Contact {
+  link: HttpLink;
+  timeout: AnswerTimeout;
+}
+
 /** Calls executors, over connections of its own to each. */
 export class ExecutorClient {
-  readonly #links = new Map<string, HttpLink>();
+  readonly #contacts = new Map<string, Contact>();
   readonly #log: EventLog;
 
   private constructor(log: EventLog) {
@@ -91,7 +96,7 @@
       lastSeen: order.acknowledged,
       ...(order.deadline === 0 ? {} : { deadlineMs: order.deadline }),
       ...(order.waitMilliseconds === 0 ? {} : { waitMs: order.waitMilliseconds }),
-    }, ORDER_TIMEOUT_MILLISECONDS + order.waitMilliseconds);
+    }, order.waitMilliseconds);
     if (answer === undefined) return { outcome: OrderOutcome.Unanswered };
     if (answer.status !== 200) {
       const outcome = decodeOutcome(answer);
@@ -133,15 +138,15 @@
 
   /** Closes the connections to executors that are not among the ids. */
   keepOnly(ids: ReadonlySet<string>): void {
-    for (const [id, link] of this.#links) {
+    for (const [id, { link }] of this.#contacts) {
       if (ids.has(id)) continue;
-      this.#links.delete(id);
+      this.#contacts.delete(id);
       link.close();
     }
   }
 
   async #order(executor: ExecutorEntry, path: string, body: unknown): Promise<OrderAnswer> {
-    const answer = await this.#call(executor, path, body, ORDER_TIMEOUT_MILLISECONDS);
+    const answer = await this.#call(executor, path, body);
     if (answer === undefined) return { outcome: OrderOutcome.Unanswered };
     const parsed = answerSchema.safeParse(parseJson(answer.body));
     return { outcome: decodeOutcome(answer), executorTime: parsed.data?.clockMs };
@@ -151,18 +156,23 @@
     executor: ExecutorEntry,
     path: string,
     body: unknown,
-    timeoutMilliseconds: number,
+    waitMilliseconds = 0,
   ): Promise<LinkAnswer | undefined> {
+    const { link, timeout } = this.#getContact(executor);
+    const sentAt = performance.now();
     try {
-      return await this.#getLink(executor).call({
+      const answer = await link.call({
         step: path,
         method: "POST",
         path,
         headers: { ...JSON_HEADERS, "expect-instance": executor.id },
         body: JSON.stringify(body),
-        timeoutMilliseconds,
+        timeoutMilliseconds: waitMilliseconds + timeout.getMilliseconds(),
       });
+      timeout.addAnswer(Math.max(0, performance.now() - sentAt - waitMilliseconds));
+      return answer;
     } catch (error) {
+      timeout.addSilence();
       this.#log("executor-silent", {
         executor: executor.id,
         step: path,
@@ -173,16 +183,15 @@
     }
   }
 
-  #getLink(executor: ExecutorEntry): HttpLink {
-    const known = this.#links.get(executor.id);
-    if (known?.address === executor.address) return known;
-    known?.close();
-    const link = HttpLink.create({
-      address: executor.address,
-      connections: EXECUTOR_CONNECTIONS,
-    });
-    this.#links.set(executor.id, link);
-    return link;
+  #getContact(executor: ExecutorEntry): Contact {
+    const { id, address } = executor;
+    const known = this.#contacts.get(id);
+    if (known?.link.address === address) return known;
+    known?.link.close();
+    const link = HttpLink.create({ address, connections: EXECUTOR_CONNECTIONS });
+    const contact = { link, timeout: AnswerTimeout.create() };
+    this.#contacts.set(id, contact);
+    return contact;
   }
 }
 
