--- a/src/measurements/roster_model/modelled_network.ts
+++ b/src/measurements/roster_model/modelled_network.ts
@@ -2,7 +2,7 @@
 
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-import type { EventQueue } from "./event_queue.ts";
+import type { EventQueue } from "../../stand_ins/event_queue.ts";
 
 /** The shortest time of a message or of one way to the log. */
 const SHORTEST_DELAY_MILLISECONDS = 1;
--- a/src/measurements/roster_model/roster_run.ts
+++ b/src/measurements/roster_model/roster_run.ts
@@ -3,7 +3,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { CONTRACT_DECISIONS, type ContractDecisions } from "../../contracts/contract_decisions.ts";
 import type { DraftRecord } from "../../records/record.ts";
-import { EventQueue } from "./event_queue.ts";
+import { EventQueue } from "../../stand_ins/event_queue.ts";
 import { type Fault, FaultKind } from "./fault.ts";
 import { ModelledLog } from "./modelled_log.ts";
 import { ModelledNetwork } from "./modelled_network.ts";
--- a/src/owner/fleet_hosts_test.ts
+++ b/src/owner/fleet_hosts_test.ts
@@ -3,7 +3,8 @@
 import type { ConfigurationData } from "../fleet/configuration.ts";
 import { type Host, HostState } from "../fleet/host.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
-import { FleetWorld, type WorldFaults, type WorldLies } from "../platform/stand_in/fleet_world.ts";
+import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
+import type { WorldFaults, WorldLies } from "../platform/stand_in/world_options.ts";
 
 const NO_FAULTS: WorldFaults = { lostPart: 0, latePart: 0, failingPart: 0 };
 const SERVICES = ["tugdesk", "berthbook"];
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -3,7 +3,8 @@
 import type { ConfigurationData } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
-import { FleetWorld, type WorldFaults, type WorldLies } from "../platform/stand_in/fleet_world.ts";
+import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
+import type { WorldFaults, WorldLies } from "../platform/stand_in/world_options.ts";
 
 const NO_FAULTS: WorldFaults = { lostPart: 0, latePart: 0, failingPart: 0 };
 
@@ -144,6 +145,34 @@
   t.deepEqual(world.violations, []);
 });
 
+test("a gang starts whole or not at all, and not beyond its customer's ceiling", (t) => {
+  const member = { demand: { cpu: 5_000, memory: 1_000, accelerators: 0 }, isGang: true };
+  const gangs: Record<string, [customer: string, step: Partial<StepSpecification>]> = {
+    "four that fit": ["quay", { ...member, count: 4 }],
+    "five on four executors": ["quay", { ...member, count: 5 }],
+    "two beyond the ceiling": ["mine", { ...member, count: 2 }],
+    "two on one rack": ["quay", { ...member, count: 2, wantsSameRack: true }],
+  };
+  const started = Object.entries(gangs).map(([name, [customer, step]]) => {
+    const world = FleetWorld.create({
+      seed: 3,
+      faults: NO_FAULTS,
+      configuration: CONFIGURATION,
+      executors: EXECUTORS,
+    });
+    world.run(200);
+    world.submit("gang", "berths", customer, createJob([step]));
+    world.run(100);
+    return [name, world.counts["started"] ?? 0];
+  });
+  t.deepEqual(Object.fromEntries(started), {
+    "four that fit": 4,
+    "five on four executors": 0,
+    "two beyond the ceiling": 0,
+    "two on one rack": 2,
+  });
+});
+
 test("each check fails on an owner that is told falsely", (t) => {
   const cases: [string, WorldLies, string[], WorldFaults][] = [
     [
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -3,22 +3,24 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import type { EventLog } from "../../events/mod.ts";
-import { Configuration, type ConfigurationData } from "../../fleet/configuration.ts";
+import { Configuration } from "../../fleet/configuration.ts";
 import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
 import type { Host } from "../../fleet/host.ts";
 import type { JobSpecification } from "../../fleet/job_specification.ts";
 import type { MaintenanceWave } from "../../fleet/maintenance_wave.ts";
 import { RunEnd } from "../../fleet/run.ts";
 import { FleetOwner } from "../../owner/fleet_owner.ts";
-import { CAPACITY_TERMS, type CapacityTerms } from "../../owner/pool_need.ts";
+import { CAPACITY_TERMS } from "../../owner/pool_need.ts";
 import { EarlierHostOrders } from "../../owner/host_order_records.ts";
 import { readStoredJobs } from "../../owner/job_records.ts";
 import { type JournalEntry, OrderOutcome, type OwnerPorts } from "../../owner/owner_ports.ts";
 import type { Claim } from "../../ownership/ownership_ports.ts";
 import { RENEWAL_MILLISECONDS } from "../../ownership/ownership_task.ts";
+import { EventQueue } from "../../stand_ins/event_queue.ts";
 import { ExecutorModel, type ModelRun, type RunPlan } from "./executor_model.ts";
 import { FleetChecks } from "./fleet_checks.ts";
 import { ProviderModel } from "./provider_model.ts";
+import type { FleetWorldOptions, WorldFaults } from "./world_options.ts";
 
 /** The lease that the owner grants, in milliseconds. */
 const LEASE_MILLISECONDS = 3_000;
@@ -37,57 +39,6 @@
 /** How far time goes at a step, in milliseconds: the owner's own. */
 const STEP_MILLISECONDS = 25;
 
-/** What goes wrong in a run of the world. */
-export interface WorldFaults {
-  /** The part of the orders that get no answer. */
-  lostPart: number;
-  /** The part of the orders without an answer that are carried out late. */
-  latePart: number;
-  /** The part of the runs that fail. */
-  failingPart: number;
-}
-
-/** What the owner is told falsely, so that a check can be seen to fail. */
-export interface WorldLies {
-  /** Changes the entries that the owner sees. */
-  entry?: (entry: ExecutorEntry) => ExecutorEntry;
-  /** Changes the jobs that the owner sees. */
-  job?: (job: JobSpecification) => JobSpecification;
-  /** Changes the configuration that the owner sees. */
-  configuration?: (data: ConfigurationData) => ConfigurationData;
-  /** Whether the owner is not told of evacuated zones. */
-  hidesEvacuation?: boolean;
-  /** Whether a new owner finds no records of what ran. */
-  losesJournal?: boolean;
-  /** Whether a new owner finds no records of orders for hosts. */
-  losesHostOrders?: boolean;
-}
-
-/** Options of a `FleetWorld`. */
-export interface FleetWorldOptions {
-  /** The seed of everything random. */
-  seed: number;
-  /** What goes wrong. */
-  faults: WorldFaults;
-  /** What operators have published. */
-  configuration: ConfigurationData;
-  /** The executors that are on no host of the provider. */
-  executors?: readonly ExecutorEntry[];
-  /** The provider's hosts; each in a pool that is no spare one has an executor. */
-  hosts?: readonly Host[];
-  /** How the sizes of pools follow their load, where not as usual. */
-  capacityTerms?: CapacityTerms;
-  /** Decides how a run goes. */
-  planRun?: (task: string) => RunPlan;
-  /** What the owner is told falsely. */
-  lies?: WorldLies;
-}
-
-interface Event {
-  at: number;
-  run: () => void;
-}
-
 /** The fleet, its owner, and what was seen of both. */
 export class FleetWorld {
   /** What happened, by kind. */
@@ -105,7 +56,7 @@
   readonly #evacuatedZones = new Set<string>();
   readonly #waves = new Map<number, MaintenanceWave>();
   readonly #completedWaves = new Set<number>();
-  readonly #events: Event[] = [];
+  readonly #events = EventQueue.create();
   #owner: FleetOwner | undefined;
   #fence = 0;
   #ownedSince = 0;
@@ -280,7 +231,7 @@
   run(milliseconds: number): void {
     const end = this.#now + milliseconds;
     for (let tickAt = this.#now; tickAt < end; tickAt += STEP_MILLISECONDS) {
-      this.#runEvents(tickAt);
+      while (this.#events.runNext(tickAt)) { /* Each event sets the time itself. */ }
       this.#now = tickAt;
       this.#provider.advance(tickAt);
       for (const model of this.#models.values()) {
@@ -303,16 +254,6 @@
     return this.#owner?.getJobState(id);
   }
 
-  #runEvents(until: number): void {
-    for (;;) {
-      const next = this.#events.at(-1);
-      if (next === undefined || next.at > until) return;
-      this.#events.pop();
-      this.#now = next.at;
-      next.run();
-    }
-  }
-
   #withOwner(act: (owner: FleetOwner) => void): void {
     const owner = this.#owner!;
     owner.setMoment({
@@ -443,10 +384,10 @@
 
   #schedule(delay: number, run: () => void): void {
     const at = this.#now + delay;
-    // The events are kept from the last to the first, so that the next one is popped.
-    let index = this.#events.length;
-    while (index > 0 && this.#events[index - 1]!.at <= at) index -= 1;
-    this.#events.splice(index, 0, { at, run });
+    this.#events.addAt(at, () => {
+      this.#now = at;
+      run();
+    });
   }
 
   #createModel(entry: ExecutorEntry): ExecutorModel {
--- /dev/null
+++ b/src/platform/stand_in/world_options.ts
@@ -0,0 +1,54 @@
+/** What a fleet in virtual time is made of, what goes wrong in it, and what its owner is told falsely. */
+
+import type { ConfigurationData } from "../../fleet/configuration.ts";
+import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
+import type { Host } from "../../fleet/host.ts";
+import type { JobSpecification } from "../../fleet/job_specification.ts";
+import type { CapacityTerms } from "../../owner/pool_need.ts";
+import type { RunPlan } from "./executor_model.ts";
+
+/** What goes wrong in a run of the world. */
+export interface WorldFaults {
+  /** The part of the orders that get no answer. */
+  lostPart: number;
+  /** The part of the orders without an answer that are carried out late. */
+  latePart: number;
+  /** The part of the runs that fail. */
+  failingPart: number;
+}
+
+/** What the owner is told falsely, so that a check can be seen to fail. */
+export interface WorldLies {
+  /** Changes the entries that the owner sees. */
+  entry?: (entry: ExecutorEntry) => ExecutorEntry;
+  /** Changes the jobs that the owner sees. */
+  job?: (job: JobSpecification) => JobSpecification;
+  /** Changes the configuration that the owner sees. */
+  configuration?: (data: ConfigurationData) => ConfigurationData;
+  /** Whether the owner is not told of evacuated zones. */
+  hidesEvacuation?: boolean;
+  /** Whether a new owner finds no records of what ran. */
+  losesJournal?: boolean;
+  /** Whether a new owner finds no records of orders for hosts. */
+  losesHostOrders?: boolean;
+}
+
+/** Options of a `FleetWorld`. */
+export interface FleetWorldOptions {
+  /** The seed of everything random. */
+  seed: number;
+  /** What goes wrong. */
+  faults: WorldFaults;
+  /** What operators have published. */
+  configuration: ConfigurationData;
+  /** The executors that are on no host of the provider. */
+  executors?: readonly ExecutorEntry[];
+  /** The provider's hosts; each in a pool that is no spare one has an executor. */
+  hosts?: readonly Host[];
+  /** How the sizes of pools follow their load, where not as usual. */
+  capacityTerms?: CapacityTerms;
+  /** Decides how a run goes. */
+  planRun?: (task: string) => RunPlan;
+  /** What the owner is told falsely. */
+  lies?: WorldLies;
+}
--- a/src/measurements/roster_model/event_queue.ts
+++ b/src/stand_ins/event_queue.ts
@@ -26,7 +26,12 @@
 
   /** Adds an event after a delay. */
   add(delayMilliseconds: number, run: () => void): void {
-    const event = { at: this.#now + Math.max(0, delayMilliseconds), order: this.#added++, run };
+    this.addAt(this.#now + Math.max(0, delayMilliseconds), run);
+  }
+
+  /** Adds an event at a time of the model, in milliseconds. */
+  addAt(at: number, run: () => void): void {
+    const event = { at, order: this.#added++, run };
     let place = this.#heap.push(event) - 1;
     while (place > 0) {
       const parent = (place - 1) >> 1;
