--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -1,6 +1,6 @@
 /** One entry host on the users' platform: makes its tasks and connects them. */
 
-import { createHash, randomBytes } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import type { EventLog } from "../events/mod.ts";
 import { FrontTask } from "../front/front_task.ts";
@@ -8,6 +8,7 @@
 import { listen } from "../links/listen.ts";
 import { formatSocketAddress } from "../links/socket_address.ts";
 import { OwnerTask } from "../owner/owner_task.ts";
+import { getClaimDelay } from "../ownership/claim_delay.ts";
 import { OwnershipTask, type OwnershipView } from "../ownership/ownership_task.ts";
 import type { Claim } from "../ownership/ownership_ports.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
@@ -36,8 +37,6 @@
 const EXECUTORS_PAUSE_MILLISECONDS = 200;
 /** The part of the time for withdrawn keys that knowledge may be old. */
 const KEY_AGE_PART = 0.8;
-/** The longest that hosts hold back to let another claim first, in milliseconds. */
-const LONGEST_CLAIM_DELAY_MILLISECONDS = 250;
 /** How long the balancer may send new connections after a host is unready, in milliseconds. */
 const BALANCER_MILLISECONDS = 2_600;
 /** How long before the kill a stopping process ends by itself, in milliseconds. */
@@ -225,7 +224,7 @@
       holder,
       hostName: this.#settings.name,
       address: formatSocketAddress(this.#settings.peerAddress),
-      getDelay: (epoch) => getClaimDelay(holder, epoch),
+      getDelay: (epoch) => getClaimDelay({ holder, epoch, cores: this.#settings.cores }),
       appendClaim: createClaimAppend(this.#store),
       notify: (view) => this.#handleOwnership(view),
       clock: this.#clock,
@@ -374,12 +373,6 @@
   }
 }
 
-/** Gets how long a process holds back for an epoch, so that not all claim at once. */
-function getClaimDelay(holder: string, epoch: number): number {
-  const digest = createHash("sha1").update(`${holder}/${epoch}`).digest();
-  return digest.readUInt16BE(0) % LONGEST_CLAIM_DELAY_MILLISECONDS;
-}
-
 function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
