--- a/src/owner/host_order_records.ts
+++ b/src/owner/host_order_records.ts
@@ -3,7 +3,7 @@
 import { Decoder, Encoder } from "cbor-x";
 import type { Executor } from "../fleet/executor.ts";
 import type { Claim } from "../ownership/ownership_ports.ts";
-import { RENEWAL_MILLISECONDS } from "../ownership/ownership_task.ts";
+import { AUTHORITY_MILLISECONDS, RENEWAL_MILLISECONDS } from "../ownership/ownership_task.ts";
 import type { JournalEntry } from "./owner_ports.ts";
 
 /** How long the record of an order may take to be stored before the order is dropped, in milliseconds. */
@@ -123,8 +123,11 @@
 
 /** Gets how long before the last renewal of the previous claim an order was given, at least. */
 function getAgeByRenewals(moment: HostOrderMoment, previous: Claim): number {
-  const before = moment.epoch === previous.epoch ? moment.renewal : 0;
-  return Math.max(0, previous.renewal - before - UNKNOWN_RENEWALS) * RENEWAL_MILLISECONDS;
+  const isOfPrevious = moment.epoch === previous.epoch;
+  const renewals = previous.renewal - (isOfPrevious ? moment.renewal : 0) - UNKNOWN_RENEWALS;
+  // An owner before the previous one may have gone on after that one's claim, until it was fenced.
+  const overlap = isOfPrevious ? 0 : AUTHORITY_MILLISECONDS;
+  return Math.max(0, renewals * RENEWAL_MILLISECONDS - overlap);
 }
 
 /** Gets how long ago an order was given by the clocks of executors, at least. */
--- a/src/owner/host_order_records_test.ts
+++ b/src/owner/host_order_records_test.ts
@@ -65,6 +65,7 @@
 test("a new owner leaves alone what was ordered of late, and the rest not at all", (t) => {
   t.snapshot({
     "the owner fell silent": getWaits(PREVIOUS),
+    "the owner fell silent after three seconds": getWaits({ ...PREVIOUS, renewal: 10 }),
     "the owner fell silent after a second": getWaits({ ...PREVIOUS, renewal: 3 }),
     "the owner released its claim": getWaits({ ...PREVIOUS, isReleased: true }),
     "there was no owner": getWaits(undefined),
