Wait for a lasting task's start that may come late, in place of stopping it

Cause: a stop that was repeated because the first had no answer reached a lasting task whose start had been carried out late meanwhile, and ended it at work while another of its step was away (AVAIL). Such a start is void when its deadline passes, within a lease; nothing is stopped until then where the step has a budget.

Ruled out: the check (the stop itself was not held up).

--- a/src/owner/fleet_hosts_test.ts
+++ b/src/owner/fleet_hosts_test.ts
@@ -3,6 +3,7 @@
 import type { ConfigurationData } from "../fleet/configuration.ts";
 import { type Host, HostState } from "../fleet/host.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
+import { getRunOptions } from "../tests/run_options.ts";
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
 import type { WorldFaults, WorldLies } from "../platform/stand_in/world_options.ts";
 
@@ -117,7 +118,7 @@
   const scenarios = fc.record({
     seed: fc.integer({ min: 1, max: 2 ** 30 }),
     faults: fc.record({
-      lostPart: fc.constantFrom(0, 0.02, 0.05),
+      lostPart: fc.constantFrom(0, 0.05, 0.2, 0.4),
       latePart: fc.constantFrom(0, 0.5, 1),
       failingPart: fc.constantFrom(0, 0.05),
     }),
@@ -130,7 +131,7 @@
       moves += world.getMoves();
       if (world.violations.length > 0) throw new Error(world.violations.join("; "));
     }),
-    { seed: 20261204, numRuns: 60, includeErrorInReport: true },
+    { ...getRunOptions({ seed: 20261204, numRuns: 60 }), includeErrorInReport: true },
   );
   t.true(moves > 600, `only ${moves} moves`);
 });
@@ -175,6 +176,19 @@
   t.deepEqual(world.violations, []);
 });
 
+test("a start of a lasting task that may come late is waited for, not stopped", (t) => {
+  // Found by the random runs with losses up to 0.4: seed 20261204, 5th run.
+  const happenings = Array<string>(16).fill("none");
+  for (const turn of [2, 4, 10, 11]) happenings[turn] = "crash";
+  happenings[9] = "drain";
+  const world = play({
+    seed: 1_073_741_818,
+    faults: { lostPart: 0.4, latePart: 1, failingPart: 0.05 },
+    happenings,
+  });
+  t.deepEqual(world.violations, []);
+});
+
 test("a host is not taken from an executor that has not answered the new owner", (t) => {
   // Found by 1,500 random runs of seed 20261204, the 91st.
   const world = play({
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -3,6 +3,7 @@
 import type { ConfigurationData } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
+import { getRunOptions } from "../tests/run_options.ts";
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
 import type { WorldFaults, WorldLies } from "../platform/stand_in/world_options.ts";
 
@@ -120,7 +121,7 @@
   const scenarios = fc.record({
     seed: fc.integer({ min: 1, max: 2 ** 30 }),
     faults: fc.record({
-      lostPart: fc.constantFrom(0, 0.02, 0.1),
+      lostPart: fc.constantFrom(0, 0.05, 0.2, 0.4),
       latePart: fc.constantFrom(0, 0.5, 1),
       failingPart: fc.constantFrom(0, 0.05, 0.2),
     }),
@@ -133,7 +134,7 @@
       started += world.counts["started"] ?? 0;
       if (world.violations.length > 0) throw new Error(world.violations.join("; "));
     }),
-    { seed: 20261204, numRuns: 250 },
+    { ...getRunOptions({ seed: 20261204, numRuns: 250 }), includeErrorInReport: true },
   );
   t.true(started > 20_000, `only ${started} starts`);
 });
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -224,6 +224,8 @@
         if (executor.hasPassed(run.startDeadline + DOUBT_MARGIN_MILLISECONDS)) {
           return this.#runs.handleLost(executor, assigned, "its start is void");
         }
+        // A stop could come after the start and end a task at work, beyond what may be away.
+        if (assigned.task.step.specification.mostAway > 0) return;
         return this.#runs.stop(executor, assigned, "start-unanswered");
       case RunStage.Running:
         if (run.confirmedAt > sentAt) return;
