--- a/src/owner/fleet_hosts_test.ts
+++ b/src/owner/fleet_hosts_test.ts
@@ -3,6 +3,7 @@
 import type { ConfigurationData } from "../fleet/configuration.ts";
 import { type Host, HostState } from "../fleet/host.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
+import { createStepSpecification } from "../stand_ins/step_samples.ts";
 import { getRunOptions } from "../tests/run_options.ts";
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
 import type { WorldFaults, WorldLies } from "../platform/stand_in/world_options.ts";
@@ -45,21 +46,12 @@
 );
 
 function createJob(step: Partial<StepSpecification>): JobSpecification {
-  const whole: StepSpecification = {
+  const whole = createStepSpecification({
     count: 6,
     demand: { cpu: 1_500, memory: 1_000, accelerators: 0 },
     estimatedMilliseconds: 600,
-    after: [],
-    isGang: false,
-    wantsSameRack: false,
-    mostPerExecutor: 0,
-    isSpeculative: false,
-    isLasting: false,
-    tailMilliseconds: 0,
-    isFiller: false,
-    mostAway: 0,
     ...step,
-  };
+  });
   return { text: "", steps: [whole], repeats: 0, firstAt: 0, intervalMilliseconds: 0 };
 }
 
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -3,6 +3,7 @@
 import type { ConfigurationData } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
+import { createStepSpecification } from "../stand_ins/step_samples.ts";
 import { getRunOptions } from "../tests/run_options.ts";
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
 import type { WorldFaults, WorldLies } from "../platform/stand_in/world_options.ts";
@@ -42,21 +43,12 @@
 }));
 
 function createStep(parts: Partial<StepSpecification>): StepSpecification {
-  return {
+  return createStepSpecification({
     count: 3,
     demand: { cpu: 1_500, memory: 2_000, accelerators: 0 },
     estimatedMilliseconds: 400,
-    after: [],
-    isGang: false,
-    wantsSameRack: false,
-    mostPerExecutor: 0,
-    isSpeculative: false,
-    isLasting: false,
-    tailMilliseconds: 0,
-    isFiller: false,
-    mostAway: 0,
     ...parts,
-  };
+  });
 }
 
 function createJob(steps: Partial<StepSpecification>[]): JobSpecification {
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -1,7 +1,6 @@
 import test from "ava";
 import { Configuration } from "../fleet/configuration.ts";
 import { Job, type JobStep, TaskState } from "../fleet/job.ts";
-import type { StepSpecification } from "../fleet/job_specification.ts";
 import { Executor } from "../fleet/executor.ts";
 import { type Run, RunStage } from "../fleet/run.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
@@ -14,25 +13,13 @@
   type RankStep,
 } from "./job_order.ts";
 import { mayBeStopped } from "./lasting_budget.ts";
+import { createStepSpecification } from "../stand_ins/step_samples.ts";
 import type { OwnerPorts } from "./owner_ports.ts";
 import { getNextPace } from "./pace_control.ts";
 import { getHostsNeeded, type PoolLoad } from "./pool_need.ts";
 import { ShareMeter } from "./share_meter.ts";
 
-const STEP: StepSpecification = {
-  count: 1,
-  demand: { cpu: 1_000, memory: 100, accelerators: 0 },
-  estimatedMilliseconds: 500,
-  after: [],
-  isGang: false,
-  wantsSameRack: false,
-  mostPerExecutor: 0,
-  isSpeculative: false,
-  isLasting: false,
-  tailMilliseconds: 0,
-  isFiller: false,
-  mostAway: 0,
-};
+const STEP = createStepSpecification({ demand: { cpu: 1_000, memory: 100, accelerators: 0 } });
 
 function createRun(task: string): Run {
   return {
--- a/src/platform/stand_in/adviser_stand_in.ts
+++ b/src/platform/stand_in/adviser_stand_in.ts
@@ -1,9 +1,8 @@
 /** A stand-in of the adviser on loopback. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { listen } from "../../links/listen.ts";
+import type { ServerResponse } from "node:http";
 import { parseJson } from "../store_client.ts";
-import { sendJson } from "./store_stand_in.ts";
+import { sendJson, StandInServer } from "./stand_in_server.ts";
 
 /** Options of an `AdviserStandIn`. */
 export interface AdviserStandInOptions {
@@ -18,11 +17,11 @@
   /** The status that all questions get in place of advice, if one is set. */
   status: number | undefined;
   readonly #options: AdviserStandInOptions;
-  readonly #server: Server;
+  readonly #server: StandInServer;
 
   private constructor(options: AdviserStandInOptions) {
     this.#options = options;
-    this.#server = createServer((request, response) => void this.#handle(request, response));
+    this.#server = StandInServer.create((_request, body, response) => this.#handle(body, response));
   }
 
   /** Creates an adviser; `listen` opens its socket. */
@@ -32,20 +31,17 @@
 
   /** Listens on a free port of loopback, and gets the address. */
   listen(): Promise<string> {
-    return listen(this.#server, { host: "127.0.0.1", port: 0 });
+    return this.#server.listen();
   }
 
   /** Closes the socket. */
   close(): void {
     this.#server.close();
-    this.#server.closeAllConnections();
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+  #handle(body: Buffer, response: ServerResponse): void {
     if (this.status !== undefined) return sendJson(response, this.status, {});
-    const { step, workers } = parseJson(Buffer.concat(chunks)) as {
+    const { step, workers } = parseJson(body) as {
       step: string;
       workers: string[];
     };
--- a/src/platform/stand_in/executor_stand_in.ts
+++ b/src/platform/stand_in/executor_stand_in.ts
@@ -1,11 +1,10 @@
 /** A stand-in of an executor on loopback, around the model of its protocol. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { listen } from "../../links/listen.ts";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { OrderOutcome } from "../../owner/owner_ports.ts";
 import { parseJson } from "../store_client.ts";
 import { ExecutorModel, type RunPlan } from "./executor_model.ts";
-import { sendJson } from "./store_stand_in.ts";
+import { sendJson, StandInServer } from "./stand_in_server.ts";
 
 /** How often a waiting look checks for an end, in milliseconds. */
 const LOOK_CHECK_MILLISECONDS = 5;
@@ -45,7 +44,7 @@
   /** The starts that were carried out, as task and run. */
   readonly starts: string[] = [];
   readonly #options: ExecutorStandInOptions;
-  readonly #server: Server;
+  readonly #server: StandInServer;
   readonly #model: ExecutorModel;
   readonly #born = Date.now();
   #ends = 0;
@@ -53,7 +52,9 @@
   private constructor(options: ExecutorStandInOptions) {
     this.id = options.id;
     this.#options = options;
-    this.#server = createServer((request, response) => void this.#handle(request, response));
+    this.#server = StandInServer.create((request, body, response) =>
+      this.#handle(request, body, response)
+    );
     this.#model = ExecutorModel.create({
       capacity: CAPACITY,
       born: this.#born,
@@ -73,7 +74,7 @@
 
   /** Listens on a free port of loopback, and gets the entry that it writes to the store. */
   async listen(): Promise<Record<string, unknown>> {
-    const addr = await listen(this.#server, { host: "127.0.0.1", port: 0 });
+    const addr = await this.#server.listen();
     const { service, zone } = this.#options;
     return {
       service,
@@ -92,13 +93,10 @@
   /** Closes the socket. */
   close(): void {
     this.#server.close();
-    this.#server.closeAllConnections();
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
-    const order = parseJson(Buffer.concat(chunks)) as Order;
+  async #handle(request: IncomingMessage, body: Buffer, response: ServerResponse): Promise<void> {
+    const order = parseJson(body) as Order;
     if (request.headers["expect-instance"] !== this.id) return sendJson(response, 421, {});
     const now = performance.now();
     switch (request.url) {
--- a/src/platform/stand_in/load_play.ts
+++ b/src/platform/stand_in/load_play.ts
@@ -5,6 +5,7 @@
 import { type JobSpecification, parseTaskName } from "../../fleet/job_specification.ts";
 import { RunEnd } from "../../fleet/run.ts";
 import type { CapacityTerms } from "../../owner/pool_need.ts";
+import { createStepSpecification } from "../../stand_ins/step_samples.ts";
 import { createRandom, FleetWorld } from "./fleet_world.ts";
 
 /** How often results are looked at, in milliseconds. */
@@ -132,20 +133,14 @@
 
 const LASTING: JobSpecification = {
   text: "",
-  steps: [{
-    count: 5,
-    demand: { cpu: 1_000, memory: 1_000, accelerators: 0 },
-    estimatedMilliseconds: 700,
-    after: [],
-    isGang: false,
-    wantsSameRack: false,
-    mostPerExecutor: 0,
-    isSpeculative: false,
-    isLasting: true,
-    tailMilliseconds: 0,
-    isFiller: false,
-    mostAway: 2,
-  }],
+  steps: [
+    createStepSpecification({
+      count: 5,
+      estimatedMilliseconds: 700,
+      isLasting: true,
+      mostAway: 2,
+    }),
+  ],
   repeats: 0,
   firstAt: 0,
   intervalMilliseconds: 0,
--- a/src/platform/stand_in/provider_stand_in.ts
+++ b/src/platform/stand_in/provider_stand_in.ts
@@ -1,11 +1,10 @@
 /** A stand-in of the provider of hosts on loopback, around the model of its protocol. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Host, HostOrderOutcome, HostState } from "../../fleet/host.ts";
-import { listen } from "../../links/listen.ts";
 import { parseJson } from "../store_client.ts";
 import type { ProviderModel } from "./provider_model.ts";
-import { sendJson } from "./store_stand_in.ts";
+import { sendJson, StandInServer } from "./stand_in_server.ts";
 
 /** How many hosts a page of the list has. */
 const PAGE_HOSTS = 2;
@@ -44,11 +43,13 @@
   /** The holders that sent orders, with their fences. */
   readonly holders: string[] = [];
   readonly #model: ProviderModel;
-  readonly #server: Server;
+  readonly #server: StandInServer;
 
   private constructor(model: ProviderModel) {
     this.#model = model;
-    this.#server = createServer((request, response) => void this.#handle(request, response));
+    this.#server = StandInServer.create((request, body, response) =>
+      this.#handle(request, body, response)
+    );
   }
 
   /** Creates a provider around a model; `listen` opens its socket. */
@@ -58,24 +59,21 @@
 
   /** Listens on a free port of loopback, and gets the address. */
   listen(): Promise<string> {
-    return listen(this.#server, { host: "127.0.0.1", port: 0 });
+    return this.#server.listen();
   }
 
   /** Closes the socket. */
   close(): void {
     this.#server.close();
-    this.#server.closeAllConnections();
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+  #handle(request: IncomingMessage, body: Buffer, response: ServerResponse): void {
     if (this.fault === ProviderFault.Silent) return;
     if (this.fault === ProviderFault.Busy) return sendJson(response, 429, {});
     if (this.fault === ProviderFault.Garbled) return sendJson(response, 200, { machines: "many" });
     const url = new URL(request.url ?? "/", "http://provider");
     if (url.pathname === "/-/machines") return this.#list(url, response);
-    const outcome = this.#order(request, url.pathname, Buffer.concat(chunks));
+    const outcome = this.#order(request, url.pathname, body);
     if (this.fault === ProviderFault.AnswerLost) return;
     if (outcome === HostOrderOutcome.Done) return sendJson(response, 200, {});
     if (outcome === HostOrderOutcome.Impossible) return sendJson(response, 400, {});
--- a/src/platform/stand_in/store_stand_in.ts
+++ b/src/platform/stand_in/store_stand_in.ts
@@ -1,8 +1,8 @@
 /** A stand-in of the platform's store on loopback, with faults that tests order. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { listen } from "../../links/listen.ts";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { decodeKeyedRecord, encodeKeyedRecord, parseJson } from "../store_client.ts";
+import { sendJson, StandInServer } from "./stand_in_server.ts";
 
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
@@ -52,11 +52,13 @@
   readonly #partitions = new Map<string, StoredPartition>();
   /** The newest value of each key whose record was forgotten. */
   readonly #kept = new Map<StoredPartition, Buffer[]>();
-  readonly #server: Server;
+  readonly #server: StandInServer;
 
   private constructor(options: StoreStandInOptions) {
     this.chooseFault = options.chooseFault ?? (() => StoreFault.None);
-    this.#server = createServer((request, response) => void this.#handle(request, response));
+    this.#server = StandInServer.create((request, body, response) =>
+      this.#handle(request, body, response)
+    );
   }
 
   /** Creates a store without records; `listen` opens its socket. */
@@ -66,13 +68,12 @@
 
   /** Listens on a free port of loopback, and gets the address. */
   listen(): Promise<string> {
-    return listen(this.#server, { host: "127.0.0.1", port: 0 });
+    return this.#server.listen();
   }
 
   /** Closes the socket. */
   close(): void {
     this.#server.close();
-    this.#server.closeAllConnections();
   }
 
   /** Writes a keyed value, as operators and executors do. */
@@ -105,17 +106,15 @@
     return Object.fromEntries([...newest].map(([key, { value }]) => [key, parseJson(value)]));
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #handle(request: IncomingMessage, body: Buffer, response: ServerResponse): Promise<void> {
     const path = request.url ?? "/";
     const url = new URL(path, "http://store");
     this.calls[url.pathname] = (this.calls[url.pathname] ?? 0) + 1;
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
     const fault = this.chooseFault(path);
     if (fault === StoreFault.Busy) return sendJson(response, 503, {});
     if (fault === StoreFault.Reset) return void response.socket?.resetAndDestroy();
     if (fault === StoreFault.Silent) return;
-    const answer = await this.#serve(url, Buffer.concat(chunks), request);
+    const answer = await this.#serve(url, body, request);
     if (fault === StoreFault.LostAnswer) return;
     response.statusCode = answer.status;
     response.end(answer.body);
@@ -258,10 +257,3 @@
 function json(status: number, body: unknown) {
   return { status, body: JSON.stringify(body) };
 }
-
-/** Answers a call with JSON. */
-export function sendJson(response: ServerResponse, status: number, body: unknown): void {
-  response.statusCode = status;
-  response.setHeader("content-type", "application/json");
-  response.end(JSON.stringify(body));
-}
