Log what each caller was told, and what the owner knew when it said so

Change: the owner's answer carries its basis (jobs that have not ended, those ordered, those confirmed, its epoch, the claim's age), and the host that the caller reached logs it with the answer. A host of a wave that is absent from the provider's list, or is back, has a line of its own. The verdict of explain goes by the answer to the submission, since answers to later questions are logged too. No decision changes.

Evidence: explain_request_test with a later answer in its log.

--- a/src/commands/explain_request.ts
+++ b/src/commands/explain_request.ts
@@ -72,7 +72,9 @@
 }
 
 function getNotAcceptedVerdict(own: readonly LogLine[]): string {
-  const answer = own.findLast(({ event }) => event === "call-answered");
+  const answer = own.findLast(({ event, fields }) =>
+    event === "call-answered" && fields.get("call") === "submit"
+  );
   if (answer === undefined) return "not accepted, and no answer is logged";
   const reason = answer.fields.get("reason") ?? "no reason";
   return `not accepted: ${answer.fields.get("outcome")} (${reason}), ` +
--- a/src/commands/explain_request_test.ts
+++ b/src/commands/explain_request_test.ts
@@ -10,6 +10,7 @@
   'time=2026-01-01T00:00:05.000Z event=job-end request=a1 outcome=completed reason="all done" age=4000',
   "time=2026-01-01T00:00:06.000Z event=job-end request=a2 outcome=completed reason=x age=1",
   'time=2026-01-01T00:00:07.000Z event=call-answered request=b1 call=submit outcome=unavailable reason="the store does not answer" version=4 epoch=2',
+  "time=2026-01-01T00:00:08.000Z event=call-answered request=b1 call=state outcome=unknown-job version=4 epoch=2",
   "a line of another program",
 ];
 
--- a/src/front/call.ts
+++ b/src/front/call.ts
@@ -72,6 +72,22 @@
   retryAfterSeconds?: number | undefined;
   /** Why, for logs and callers. */
   reason?: string | undefined;
+  /** What the owner knew when it answered, for logs. */
+  basis?: AnswerBasis | undefined;
+}
+
+/** What the owner knew when it told a job's state or a queue's count. */
+export interface AnswerBasis {
+  /** The jobs that are meant and have not ended. */
+  jobs: number;
+  /** Of these, the ones with a run that was ordered. */
+  ordered: number;
+  /** Of these, the ones with a run that its executor has confirmed. */
+  confirmed: number;
+  /** The epoch of the claim that the owner answered under. */
+  ownerEpoch: number;
+  /** How long ago that claim was confirmed, in milliseconds. */
+  claimAge: number;
 }
 
 /** A call that the configuration allows. */
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -11,7 +11,7 @@
 import { Capacity } from "./capacity.ts";
 import { Dispatch } from "./dispatch.ts";
 import { FleetState, type FleetStateOptions } from "./fleet_state.ts";
-import { JobDesk, type Submission } from "./job_desk.ts";
+import { type JobCounts, JobDesk, type Submission } from "./job_desk.ts";
 import { readStoredExecutors } from "./executor_records.ts";
 import { HostControl } from "./host_control.ts";
 import type { EarlierHostOrders } from "./host_order_records.ts";
@@ -215,6 +215,16 @@
     return this.#desk.getWaitingCount(queue);
   }
 
+  /** Counts how far a job has come, for logs. */
+  countJob(id: string): JobCounts {
+    return this.#desk.countJob(id);
+  }
+
+  /** Counts how far the jobs of a queue have come, for logs. */
+  countQueue(queue: string): JobCounts {
+    return this.#desk.countQueue(queue);
+  }
+
   /** Cancels a job, and tells when that is stored. */
   cancel(id: string, onCancelled: () => void): void {
     this.#desk.cancel(id, onCancelled);
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -20,6 +20,16 @@
   specification: JobSpecification;
 }
 
+/** How far jobs have come that have not ended, for logs. */
+export interface JobCounts {
+  /** The jobs. */
+  jobs: number;
+  /** The ones with a run that was ordered. */
+  ordered: number;
+  /** The ones with a run that its executor has confirmed. */
+  confirmed: number;
+}
+
 /** The decisions about whole jobs. */
 export class JobDesk {
   readonly #state: FleetState;
@@ -99,6 +109,17 @@
     return count;
   }
 
+  /** Counts how far a job has come, for logs. */
+  countJob(id: string): JobCounts {
+    const job = this.#state.jobs.get(id);
+    return countJobs(job === undefined ? [] : [job]);
+  }
+
+  /** Counts how far the jobs of a queue have come, for logs. */
+  countQueue(queue: string): JobCounts {
+    return countJobs([...this.#state.jobs.values()].filter((job) => job.queue === queue));
+  }
+
   /** Cancels a job, and tells when that is stored. */
   cancel(id: string, onCancelled: () => void): void {
     const state = this.#state;
@@ -182,3 +203,15 @@
     else this.#timed.delete(job);
   }
 }
+
+function countJobs(jobs: readonly Job[]): JobCounts {
+  const counts: JobCounts = { jobs: 0, ordered: 0, confirmed: 0 };
+  for (const job of jobs) {
+    if (job.outcome !== undefined) continue;
+    const runs = [...job.getTasks()].flatMap(({ run }) => run === undefined ? [] : [run]);
+    counts.jobs += 1;
+    if (runs.length > 0) counts.ordered += 1;
+    if (runs.some(({ confirmedAt }) => confirmedAt > 0)) counts.confirmed += 1;
+  }
+  return counts;
+}
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -217,10 +217,14 @@
     const host = hosts.getHosts().get(place.name);
     switch (place.stage) {
       case Stage.Waiting:
-        if (host === undefined) this.#setStage(place, Stage.Done);
+        if (host === undefined) {
+          this.#logAbsence(progress, place);
+          this.#setStage(place, Stage.Done);
+        }
         return;
       case Stage.Emptying:
         if (host === undefined) {
+          this.#logAbsence(progress, place);
           this.#setStage(place, Stage.Done);
           return hosts.release(place.name);
         }
@@ -273,8 +277,25 @@
     state.ports.maintain({ host: place.name, wave: progress.wave.number, fence: state.fence });
   }
 
+  #logAbsence(progress: WaveProgress, place: Place): void {
+    const { state, hosts } = this.#options;
+    state.log("wave-host-absent", {
+      host: place.name,
+      wave: progress.wave.number,
+      stage: place.stage,
+      listed: hosts.getHosts().size,
+      listAge: Math.round(state.now - hosts.getListedAt()),
+    });
+  }
+
   #finish(progress: WaveProgress, place: Place): void {
     const { state, hosts } = this.#options;
+    state.log("host-maintained", {
+      host: place.name,
+      wave: progress.wave.number,
+      away: Math.round(state.now - place.since),
+      isListed: hosts.getHosts().has(place.name),
+    });
     this.#setStage(place, Stage.Done);
     hosts.release(place.name);
     state.ports.write([this.#createEntry(progress)], () => {});
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -7,6 +7,7 @@
 import type { OperatorRequests } from "../fleet/maintenance_wave.ts";
 import {
   type Answer,
+  type AnswerBasis,
   AnswerOutcome,
   authorizeCall,
   CallKind,
@@ -22,6 +23,7 @@
 import { FleetOwner } from "./fleet_owner.ts";
 import type { OwnerLimits } from "./fleet_state.ts";
 import { EarlierHostOrders } from "./host_order_records.ts";
+import type { JobCounts } from "./job_desk.ts";
 import { CAPACITY_TERMS } from "./pool_need.ts";
 import { readStoredJobs } from "./job_records.ts";
 import type {
@@ -451,12 +453,14 @@
       case CallKind.State: {
         const state = owner.getJobState(call.jobId);
         if (state === undefined) return reply(this.#getUnknown());
-        return reply({ outcome: AnswerOutcome.Shown, state });
+        const basis = this.#createBasis(owner.countJob(call.jobId));
+        return reply({ outcome: AnswerOutcome.Shown, state, basis });
       }
       case CallKind.Waiting:
         return reply({
           outcome: AnswerOutcome.Counted,
           waiting: owner.getWaitingCount(allowed.queue),
+          basis: this.#createBasis(owner.countQueue(allowed.queue)),
         });
     }
     this.#settleSoon();
@@ -491,6 +495,11 @@
     });
   }
 
+  #createBasis(counts: JobCounts): AnswerBasis {
+    const claimAge = Math.round(this.#options.clock.getElapsed() - this.#confirmedAt);
+    return { ...counts, ownerEpoch: this.#options.epoch, claimAge };
+  }
+
   /** Gets what is said of a job that is not known: only an owner that is sure says so. */
   #getUnknown(): Answer {
     const age = this.#options.clock.getElapsed() - this.#confirmedAt;
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -201,13 +201,14 @@
       onAnswered: (call, answer, milliseconds) => {
         this.#metrics.count(`${call.kind}-${answer.outcome}`);
         this.#metrics.measure(call.kind, milliseconds);
-        const isRefusal = answer.outcome === AnswerOutcome.Unavailable ||
-          answer.outcome === AnswerOutcome.Uncertain || answer.outcome === AnswerOutcome.NoKey;
-        if (!isRefusal && call.kind !== "submit" && call.kind !== "cancel") return;
         this.#log("call-answered", {
           request: call.jobId,
           call: call.kind,
+          path: call.jobId === "" ? call.path : undefined,
           outcome: answer.outcome,
+          state: answer.state,
+          waiting: answer.waiting,
+          ...answer.basis,
           reason: answer.reason,
           version: this.#operators.getConfiguration()?.version,
           epoch: this.#claim?.epoch,
