Name the queue in the basis of an answer

Cause: a count's line named the path only, and a job's line the queue only, so the two could not be joined. Change: the basis names the queue. No decision changes.

--- a/src/front/call.ts
+++ b/src/front/call.ts
@@ -78,6 +78,8 @@
 
 /** What the owner knew when it told a job's state or a queue's count. */
 export interface AnswerBasis {
+  /** The name of the queue that the call was for. */
+  queue: string;
   /** The jobs that are meant and have not ended. */
   jobs: number;
   /** Of these, the ones with a run that was ordered. */
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -453,14 +453,14 @@
       case CallKind.State: {
         const state = owner.getJobState(call.jobId);
         if (state === undefined) return reply(this.#getUnknown());
-        const basis = this.#createBasis(owner.countJob(call.jobId));
+        const basis = this.#createBasis(allowed.queue, owner.countJob(call.jobId));
         return reply({ outcome: AnswerOutcome.Shown, state, basis });
       }
       case CallKind.Waiting:
         return reply({
           outcome: AnswerOutcome.Counted,
           waiting: owner.getWaitingCount(allowed.queue),
-          basis: this.#createBasis(owner.countQueue(allowed.queue)),
+          basis: this.#createBasis(allowed.queue, owner.countQueue(allowed.queue)),
         });
     }
     this.#settleSoon();
@@ -495,9 +495,9 @@
     });
   }
 
-  #createBasis(counts: JobCounts): AnswerBasis {
+  #createBasis(queue: string, counts: JobCounts): AnswerBasis {
     const claimAge = Math.round(this.#options.clock.getElapsed() - this.#confirmedAt);
-    return { ...counts, ownerEpoch: this.#options.epoch, claimAge };
+    return { queue, ...counts, ownerEpoch: this.#options.epoch, claimAge };
   }
 
   /** Gets what is said of a job that is not known: only an owner that is sure says so. */
