Show in tests that an order for a start takes a job out of its queue's count (known red)

What callers see: a queue with jobs that have waited for over 5 s is said to have none waiting, and the jobs are shown as running, though no executor has begun a task of them.

The new check is seen to fail on an owner that finds no records of jobs.

--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -116,6 +116,7 @@
       lostPart: fc.constantFrom(0, 0.05, 0.2, 0.4),
       latePart: fc.constantFrom(0, 0.5, 1),
       failingPart: fc.constantFrom(0, 0.05, 0.2),
+      refusedPart: fc.constantFrom(0, 0, 0.5, 0.95),
     }),
     happenings: fc.array(happening, { minLength: 8, maxLength: 8 }),
   });
@@ -208,6 +209,7 @@
       { ...NO_FAULTS, failingPart: 0.5 },
     ],
     ["EVAC", { hidesEvacuation: true }, ["evacuate"], NO_FAULTS],
+    ["MIXED", { losesJobs: true }, ["none", "none", "owner"], { ...NO_FAULTS, refusedPart: 1 }],
     ["TWICE", { losesJournal: true }, ["none", "none", "owner"], NO_FAULTS],
   ];
   const seen = cases.map(([rule, lies, happenings, faults]) => {
--- /dev/null
+++ b/src/owner/waiting_count_test.ts
@@ -0,0 +1,101 @@
+import test from "ava";
+import type { ConfigurationData } from "../fleet/configuration.ts";
+import type { JobSpecification } from "../fleet/job_specification.ts";
+import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
+import type { WorldFaults } from "../platform/stand_in/world_options.ts";
+import { createStepSpecification } from "../stand_ins/step_samples.ts";
+
+const CONFIGURATION: ConfigurationData = {
+  version: 1,
+  queues: [{
+    name: "quotes",
+    host: "quotes.example",
+    pathPrefix: "/",
+    service: "pricing",
+    priority: 0,
+    attemptLimit: 2,
+    stretch: 1.6,
+    objectiveMilliseconds: 600,
+    isPublic: true,
+  }],
+  services: [{ name: "pricing", isGuarded: false, isSpare: false }],
+  customers: [],
+  largestBodyBytes: 10_000,
+};
+
+const JOB: JobSpecification = {
+  text: "quote",
+  steps: [createStepSpecification({
+    count: 1,
+    demand: { cpu: 1_000, memory: 1_000, accelerators: 0 },
+    estimatedMilliseconds: 20_000,
+  })],
+  repeats: 0,
+  firstAt: 0,
+  intervalMilliseconds: 0,
+};
+
+const NO_FAULTS: WorldFaults = { lostPart: 0, latePart: 0, failingPart: 0 };
+
+/** Creates a world whose owner knows its executors before the faults begin. */
+function createWorld(faults: Partial<WorldFaults>): FleetWorld {
+  const world = FleetWorld.create({
+    seed: 5,
+    faults: NO_FAULTS,
+    configuration: CONFIGURATION,
+    executors: ["i-1", "i-2"].map((id) => ({
+      id,
+      born: 1_000,
+      service: "pricing",
+      address: `${id}:80`,
+      zone: "zl-a",
+      labels: ["a"],
+      capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
+      isDraining: false,
+    })),
+  });
+  world.run(200);
+  world.setFaults({ ...NO_FAULTS, ...faults });
+  return world;
+}
+
+/** Submits four jobs, and gets what callers are told after each of some times. */
+function tellOverTime(world: FleetWorld) {
+  const jobs = ["q1", "q2", "q3", "q4"];
+  for (const id of jobs) world.submit(id, "quotes", "", JOB);
+  return [100, 1_000, 5_000].map((milliseconds) => {
+    world.run(milliseconds);
+    return {
+      at: world.getNow(),
+      starts: world.counts["started"] ?? 0,
+      waiting: world.getWaitingCount("quotes"),
+      states: jobs.map((id) => world.getJobState(id)),
+    };
+  });
+}
+
+test("jobs whose starts were all refused still count as waiting", (t) => {
+  t.snapshot(tellOverTime(createWorld({ refusedPart: 1 })));
+});
+
+test("jobs whose starts were never answered nor carried out still count as waiting", (t) => {
+  t.snapshot(tellOverTime(createWorld({ lostPart: 1, latePart: 1 })));
+});
+
+test("jobs that an executor has begun count no longer", (t) => {
+  t.snapshot(tellOverTime(createWorld({})));
+});
+
+test("a job whose cancel is not stored is counted as it is shown", (t) => {
+  const world = createWorld({ refusedPart: 1 });
+  world.submit("q1", "quotes", "", JOB);
+  world.run(1_000);
+  world.cancel("q1");
+  const tell = () => ({
+    waiting: world.getWaitingCount("quotes"),
+    state: world.getJobState("q1"),
+  });
+  const before = tell();
+  world.run(1_000);
+  t.snapshot([before, tell()]);
+});
--- a/src/platform/stand_in/fleet_checks.ts
+++ b/src/platform/stand_in/fleet_checks.ts
@@ -14,6 +14,9 @@
 /** How long an acknowledged cancel or request may take until no start follows, in milliseconds. */
 const REACTION_MILLISECONDS = 1_000;
 
+/** How long after its acceptance a job that has not begun must be counted, in milliseconds. */
+const VISIBLE_MILLISECONDS = 5_000;
+
 /** Options of `FleetChecks`. */
 export interface FleetChecksOptions {
   /** What operators have published. */
@@ -23,6 +26,7 @@
 }
 
 interface KnownJob {
+  queue: string;
   customer: string;
   specification: JobSpecification;
 }
@@ -40,7 +44,9 @@
   readonly violations: string[] = [];
   readonly #options: FleetChecksOptions;
   readonly #jobs = new Map<string, KnownJob>();
-  readonly #accepted = new Set<string>();
+  readonly #acceptedAt = new Map<string, number>();
+  /** The jobs of which an executor has begun a task. */
+  readonly #begun = new Set<string>();
   readonly #cancelledAt = new Map<string, number>();
   readonly #done = new Set<string>();
   /** The tasks whose end was lost with its executor: they may start again. */
@@ -68,13 +74,13 @@
   }
 
   /** Notes that a caller submits a job. */
-  addJob(id: string, customer: string, specification: JobSpecification): void {
-    this.#jobs.set(id, { customer, specification });
+  addJob(id: string, job: KnownJob): void {
+    this.#jobs.set(id, job);
   }
 
   /** Notes that a job was accepted. */
-  addAccepted(id: string): void {
-    this.#accepted.add(id);
+  addAccepted(id: string, now: number): void {
+    this.#acceptedAt.set(id, now);
   }
 
   /** Notes that a cancel was acknowledged. */
@@ -116,6 +122,7 @@
     const name = parseTaskName(run.task);
     const job = name && this.#jobs.get(name.jobId);
     if (name === undefined || job === undefined) return this.addViolation("UNASKED", run.task);
+    this.#begun.add(name.jobId);
     const step = job.specification.steps[name.step]!;
     if (this.#runningTasks.has(run.task)) this.addViolation("TWICE", `${run.task} runs already`);
     if (this.#done.has(run.task) && !this.#lost.has(run.task)) {
@@ -194,10 +201,24 @@
     }
   }
 
+  /** Checks that a queue's count covers half of the jobs that have not begun for a while. */
+  checkCounts(getWaitingCount: (queue: string) => number, now: number): void {
+    for (const { name } of this.#options.configuration.queues) {
+      let unbegun = 0;
+      for (const [id, acceptedAt] of this.#acceptedAt) {
+        if (this.#jobs.get(id)?.queue !== name || now - acceptedAt < VISIBLE_MILLISECONDS) continue;
+        if (!this.#begun.has(id) && !this.#cancelledAt.has(id)) unbegun += 1;
+      }
+      const waiting = getWaitingCount(name);
+      if (waiting >= unbegun / 2) continue;
+      this.addViolation("MIXED", `${waiting} jobs of ${name} are said to wait, ${unbegun} do`);
+    }
+  }
+
   /** Checks that every accepted job has ended, or has all its tasks running if they last. */
   checkServed(getState: (id: string) => string | undefined): void {
     for (const [id, { specification }] of this.#jobs) {
-      if (!this.#accepted.has(id) || this.#cancelledAt.has(id)) continue;
+      if (!this.#acceptedAt.has(id) || this.#cancelledAt.has(id)) continue;
       const state = getState(id);
       if (state === "completed" || state === "failed") continue;
       specification.steps.forEach((step, number) => {
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -125,12 +125,12 @@
 
   /** Submits a job. */
   submit(id: string, queue: string, customer: string, specification: JobSpecification): void {
-    this.#checks.addJob(id, customer, specification);
+    this.#checks.addJob(id, { queue, customer, specification });
     const told = this.#options.lies?.job?.(specification) ?? specification;
     this.#withOwner((owner) =>
       owner.submit({ id, queue, customer, specification: told }, () => {
         this.#count("accepted");
-        this.#checks.addAccepted(id);
+        this.#checks.addAccepted(id, this.#now);
       })
     );
   }
@@ -217,9 +217,14 @@
     this.#tellRequests();
   }
 
+  /** Sets what goes wrong from now on; what is on its way goes on as it was. */
+  setFaults(faults: WorldFaults): void {
+    this.#faults = faults;
+  }
+
   /** Ends all faults; what is on its way may still come late. */
   endFaults(): void {
-    this.#faults = { lostPart: 0, latePart: 0, failingPart: 0 };
+    this.setFaults({ lostPart: 0, latePart: 0, failingPart: 0 });
   }
 
   /** Checks that nothing waits any more, and that every lasting task runs. */
@@ -254,6 +259,11 @@
     return this.#owner?.getJobState(id);
   }
 
+  /** Gets the number of a queue's jobs that callers are told wait. */
+  getWaitingCount(queue: string): number {
+    return this.#owner?.getWaitingCount(queue) ?? 0;
+  }
+
   #withOwner(act: (owner: FleetOwner) => void): void {
     const owner = this.#owner!;
     owner.setMoment({
@@ -277,7 +287,7 @@
       start: (order) =>
         this.#send(
           order.executor,
-          (model) => model.start(order, this.#now),
+          (model) => this.#isRefused() ? OrderOutcome.Unwell : model.start(order, this.#now),
           (outcome) =>
             answer((owner) =>
               owner.handleStartAnswer(order.executor.id, order.task, order.run, { outcome })
@@ -422,9 +432,15 @@
 
   #check(): void {
     this.#checks.checkShownJobs((id) => this.#owner?.getJobState(id));
+    this.#checks.checkCounts((queue) => this.getWaitingCount(queue), this.#now);
     this.#checks.checkRoom(this.#models, this.#entries);
   }
 
+  #isRefused(): boolean {
+    const { refusedPart = 0 } = this.#faults;
+    return refusedPart > 0 && this.#random() < refusedPart;
+  }
+
   /** Ends the executor of a host that is taken away, with all that runs there. */
   #takeExecutor(host: Host): void {
     const model = this.#models.get(host.executorId);
@@ -525,8 +541,9 @@
 
   /** Gets what a new owner finds in the journal. */
   #getStored(): [string, Uint8Array][] {
-    const { losesJournal, losesHostOrders } = this.#options.lies ?? {};
+    const { losesJobs, losesJournal, losesHostOrders } = this.#options.lies ?? {};
     return [...this.#journal].filter(([key]) =>
+      !(losesJobs === true && key.startsWith("job/")) &&
       !(losesJournal === true && key.startsWith("progress/")) &&
       !(losesHostOrders === true && key.startsWith("host-order/"))
     );
--- a/src/platform/stand_in/world_options.ts
+++ b/src/platform/stand_in/world_options.ts
@@ -15,6 +15,8 @@
   latePart: number;
   /** The part of the runs that fail. */
   failingPart: number;
+  /** The part of the starts that an unwell executor refuses; none if left out. */
+  refusedPart?: number;
 }
 
 /** What the owner is told falsely, so that a check can be seen to fail. */
@@ -29,6 +31,8 @@
   hidesEvacuation?: boolean;
   /** Whether a new owner finds no records of what ran. */
   losesJournal?: boolean;
+  /** Whether a new owner finds no records of accepted jobs. */
+  losesJobs?: boolean;
   /** Whether a new owner finds no records of orders for hosts. */
   losesHostOrders?: boolean;
 }
