Take a job as begun when an executor tells of it, not when its start is ordered

Cause: FleetState.addRun marked the job as started when the order was sent. An order that is refused, unanswered or void left the mark. The class: an order was taken for its effect. The count also left out jobs whose cancel was not stored, though they are shown as queued.

Change: an answered start, a row in a report or a listed end marks the job; the count goes by the state that callers are shown, so the two can't differ.

Why it works: each of the three is the executor's word that it began the task, so the owner counts every job that no executor has begun.

--- a/src/fleet/job.ts
+++ b/src/fleet/job.ts
@@ -115,7 +115,7 @@
   isOutcomeStored = false;
   /** When the outcome was reached, in milliseconds since 1970. */
   endedAt = 0;
-  /** Whether a task has started. */
+  /** Whether an executor is known to have begun a task. */
   hasStarted = false;
   /** Whether its customer handed it in beyond its share. */
   isBeyondShare = false;
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -158,11 +158,16 @@
     const { task, run } = assigned;
     task.run = run;
     task.state = TaskState.Assigned;
-    task.step.job.hasStarted = true;
     executor.addRun(assigned);
     addResources(this.getUsage(task.step.job.customer), task.step.specification.demand);
   }
 
+  /** Notes that an executor has told of a run: an order alone proves nothing. */
+  confirmRun({ run, task }: AssignedRun): void {
+    run.confirmedAt = this.now;
+    task.step.job.hasStarted = true;
+  }
+
   /** Takes a run from its task; what becomes of the task is the caller's. */
   removeRun(executor: Executor, assigned: AssignedRun): void {
     const { task, run } = assigned;
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -104,7 +104,7 @@
   getWaitingCount(queue: string): number {
     let count = 0;
     for (const job of this.#state.jobs.values()) {
-      if (job.queue === queue && !job.hasStarted && job.outcome === undefined) count += 1;
+      if (job.queue === queue && job.getShownState() === JobState.Queued) count += 1;
     }
     return count;
   }
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -152,7 +152,7 @@
     const { run, task } = assigned;
     const isInDoubt = run.stage === RunStage.InDoubt && run.stopSentAt === undefined;
     if (run.stage === RunStage.Ordered || isInDoubt) run.stage = RunStage.Running;
-    if (run.confirmedAt === 0) run.confirmedAt = state.now;
+    if (run.confirmedAt === 0) state.confirmRun(assigned);
     if (row.percent !== run.percent) run.progressedAt = state.now;
     run.percent = row.percent;
     run.usage = row.usage;
@@ -184,7 +184,7 @@
       executorId: executor.id,
       stage: RunStage.Running,
       orderedAt: state.now,
-      confirmedAt: state.now,
+      confirmedAt: 0,
       startDeadline: 0,
       percent: row.percent,
       progressedAt: state.now,
@@ -194,6 +194,7 @@
     };
     if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
     state.addRun(executor, { run, task });
+    state.confirmRun({ run, task });
     state.log("run-adopted", { request: task.step.job.id, task: row.task, executor: executor.id });
     if (task.step.job.outcome !== undefined) {
       this.#runs.stop(executor, { run, task }, "the job is over");
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -97,7 +97,7 @@
     if (executor === undefined || assigned === undefined || assigned.run.number !== number) return;
     const { run, task } = assigned;
     if (answer.outcome === OrderOutcome.Done) {
-      run.confirmedAt = state.now;
+      state.confirmRun(assigned);
       if (run.stage === RunStage.Ordered || run.stage === RunStage.InDoubt) {
         run.stage = RunStage.Running;
       }
@@ -175,6 +175,7 @@
     const assigned = executor.runs.get(row.task);
     const isCurrent = assigned !== undefined && assigned.run.number === row.run;
     if (isCurrent) state.removeRun(executor, assigned);
+    task.step.job.hasStarted = true;
     state.log("task-end", {
       request: task.step.job.id,
       task: row.task,
