Repeat an order on a filler's pace until it is answered, and under strain

The pace that a filler was ordered to was believed at once and the answer was dropped. An order to 0 that got lost was never sent again, since the pace was 0 already; a new owner took each filler that it adopted to be at full speed and never raised one that the earlier owner had slowed. Serving tasks beside the first stay over their target, the second stays slow.

Change: the answer comes back as a message; an order is repeated until it is answered, on adopted fillers too, and under strain in any case, since an earlier order may have been carried out late.

Evidence: the new test of owner_decisions_test fails with the old condition (nothing is sent for an adopted filler, nor again at 0) and passes now.

--- a/src/fleet/run.ts
+++ b/src/fleet/run.ts
@@ -54,9 +54,11 @@
   percent: number;
   /** When the percentage last changed, on the steady clock. */
   progressedAt: number;
-  /** The share of its speed that a filler was set to, in percent. */
+  /** The share of its speed that a filler was last ordered to work at, in percent. */
   pace: number;
-  /** When the pace was last changed, on the steady clock. */
+  /** Whether the executor is known to have that pace; an earlier owner may have set another. */
+  isPaceKnown: boolean;
+  /** When the pace was last ordered, on the steady clock. */
   pacedAt: number;
   /** The tail of response times of a serving task, in milliseconds; of others the cpu in use. */
   usage: number;
--- a/src/owner/dispatch.ts
+++ b/src/owner/dispatch.ts
@@ -169,6 +169,7 @@
     percent: 0,
     progressedAt: 0,
     pace: 100,
+    isPaceKnown: true,
     pacedAt: 0,
     usage: 0,
   };
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -25,7 +25,13 @@
 import { PaceControl } from "./pace_control.ts";
 import { RunControl } from "./run_control.ts";
 import { RunHealth } from "./run_health.ts";
-import type { LookAnswer, MaintainOrder, MoveOrder, OrderAnswer } from "./owner_ports.ts";
+import type {
+  LookAnswer,
+  MaintainOrder,
+  MoveOrder,
+  OrderAnswer,
+  PaceOrder,
+} from "./owner_ports.ts";
 
 /** What holds at the moment of a decision. */
 export interface OwnerMoment {
@@ -235,6 +241,11 @@
     this.#runs.handleStartAnswer(executorId, task, run, answer);
   }
 
+  /** Acts on the answer to an order on a run's pace. */
+  handlePaceAnswer(order: PaceOrder, answer: OrderAnswer): void {
+    this.#pace.handleAnswer(order, answer);
+  }
+
   /** Acts on the answer to a stop. */
   handleStopAnswer(executorId: string, task: string, run: number, answer: OrderAnswer): void {
     this.#runs.handleStopAnswer(executorId, task, run, answer);
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -189,6 +189,7 @@
       percent: row.percent,
       progressedAt: state.now,
       pace: 100,
+      isPaceKnown: false,
       pacedAt: 0,
       usage: row.usage,
     };
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -14,8 +14,8 @@
 } from "./job_order.ts";
 import { mayBeStopped } from "./lasting_budget.ts";
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
-import type { OwnerPorts } from "./owner_ports.ts";
-import { getNextPace } from "./pace_control.ts";
+import { OrderOutcome, type OwnerPorts, type PaceOrder } from "./owner_ports.ts";
+import { getNextPace, PaceControl } from "./pace_control.ts";
 import { getHostsNeeded, type PoolLoad } from "./pool_need.ts";
 import { ShareMeter } from "./share_meter.ts";
 
@@ -33,12 +33,13 @@
     percent: 100,
     progressedAt: 0,
     pace: 100,
+    isPaceKnown: true,
     pacedAt: 0,
     usage: 0,
   };
 }
 
-function createState(fence = 1): FleetState {
+function createState(fence = 1, observed: Partial<OwnerPorts> = {}): FleetState {
   const ignore = () => {};
   const ports: OwnerPorts = {
     start: ignore,
@@ -51,6 +52,7 @@
     move: ignore,
     writeStatus: ignore,
     write: ignore,
+    ...observed,
   };
   const limits = {
     rememberMilliseconds: 1,
@@ -237,3 +239,53 @@
   for (const strain of strains) paces.push(pace = getNextPace(pace, strain));
   t.deepEqual(paces, [50, 25, 12, 6, 0, 0, 15, 30, 45, 60, 75, 90, 100, 100]);
 });
+
+test("an order on a filler's pace is repeated until it is answered, and under strain", (t) => {
+  const orders: (PaceOrder & { at: number })[] = [];
+  const state = createState(1, { pace: (order) => orders.push({ ...order, at: state.now }) });
+  const executor = Executor.create({
+    id: "i-1",
+    born: 1,
+    service: "tugdesk",
+    address: "10.0.0.1:80",
+    zone: "zl-a",
+    labels: [],
+    capacity: STEP.demand,
+    isDraining: false,
+  });
+  state.executors.set(executor.id, executor);
+  const specifications = [{ tailMilliseconds: 100 }, { isFiller: true }];
+  const steps = specifications.map((parts) => createStepSpecification(parts));
+  const job = Job.create({
+    id: "j",
+    queue: "tugs",
+    customer: "",
+    specification: { text: "", steps, repeats: 0, firstAt: 0, intervalMilliseconds: 0 },
+    acceptedAt: 0,
+  });
+  const [serving] = job.addOccurrence(0, TaskState.Waiting).map(({ tasks }) => {
+    const run = { ...createRun(tasks[0]!.name), isPaceKnown: false };
+    state.addRun(executor, { task: tasks[0]!, run });
+    return run;
+  });
+  const pace = PaceControl.create(state);
+  const pass = (usage: number, isAnswered: boolean) => {
+    serving!.usage = usage;
+    for (let end = state.now + 2_000; state.now < end;) {
+      state.now += 100;
+      executor.lookedAt = state.now;
+      const sent = orders.length;
+      pace.tick();
+      if (!isAnswered) continue;
+      for (const order of orders.slice(sent)) {
+        pace.handleAnswer(order, { outcome: OrderOutcome.Done });
+      }
+    }
+  };
+  pass(80, false);
+  pass(80, true);
+  pass(120, true);
+  pass(120, false);
+  pass(120, true);
+  t.snapshot(orders.map(({ at, percent }) => `${at} ms: ${percent}%`));
+});
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -88,6 +88,7 @@
   | { kind: "stored-read"; entries: [string, Uint8Array][] }
   | { kind: "start-answered"; order: StartOrder; answer: OrderAnswer; milliseconds: number }
   | { kind: "stop-answered"; order: StopOrder; answer: OrderAnswer }
+  | { kind: "pace-answered"; order: PaceOrder; answer: OrderAnswer }
   | { kind: "look-answered"; order: LookOrder; sentAt: number; answer: LookAnswer }
   | { kind: "hosts-listed"; hosts: Host[] | undefined }
   | { kind: "maintain-answered"; order: MaintainOrder; outcome: HostOrderOutcome }
@@ -200,6 +201,10 @@
         this.#owner?.handleStopAnswer(order.executor.id, order.task, order.run, answer);
         break;
       }
+      case "pace-answered":
+        this.#setMoment();
+        this.#owner?.handlePaceAnswer(message.order, message.answer);
+        return;
       case "look-answered":
         this.#setMoment();
         this.#owner?.handleLookAnswer(message.order.executor.id, message.sentAt, message.answer);
@@ -382,7 +387,10 @@
         void executors.stop(order).then((answer) =>
           this.post({ kind: "stop-answered", order, answer })
         ),
-      pace: (order) => void executors.pace(order),
+      pace: (order) =>
+        void executors.pace(order).then((answer) =>
+          this.post({ kind: "pace-answered", order, answer })
+        ),
       look: (order) => {
         const sentAt = getSteady();
         void executors.look(order).then((answer) =>
--- a/src/owner/pace_control.ts
+++ b/src/owner/pace_control.ts
@@ -3,6 +3,7 @@
 import type { AssignedRun, Executor } from "../fleet/executor.ts";
 import { RunStage } from "../fleet/run.ts";
 import type { FleetState } from "./fleet_state.ts";
+import { type OrderAnswer, OrderOutcome, type PaceOrder } from "./owner_ports.ts";
 
 /** The least time between two changes of one run's pace, in milliseconds: a report and its effect. */
 const PACE_MILLISECONDS = 600;
@@ -35,6 +36,16 @@
     }
   }
 
+  /** Acts on the answer to an order. */
+  handleAnswer(order: PaceOrder, answer: OrderAnswer): void {
+    const state = this.#state;
+    const { id } = order.executor;
+    if (answer.outcome === OrderOutcome.Fenced) return state.depose(id);
+    const run = state.executors.get(id)?.runs.get(order.task)?.run;
+    if (run?.number !== order.run || run.pace !== order.percent) return;
+    run.isPaceKnown = answer.outcome === OrderOutcome.Done;
+  }
+
   #adjust(executor: Executor, fillers: AssignedRun[]): void {
     const state = this.#state;
     const strain = getStrain(executor);
@@ -42,9 +53,11 @@
       const { run, task } = assigned;
       if (state.now - run.pacedAt < PACE_MILLISECONDS || executor.lookedAt <= run.pacedAt) continue;
       const pace = getNextPace(run.pace, strain);
-      if (pace === run.pace) continue;
+      // Under strain the order is repeated: an earlier one may have been carried out late.
+      if (pace === run.pace && run.isPaceKnown && strain <= SLOW_PART) continue;
       state.log("filler-paced", { task: task.name, executor: executor.id, strain, pace });
       run.pace = pace;
+      run.isPaceKnown = false;
       run.pacedAt = state.now;
       state.ports.pace({
         executor: executor.entry,
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -60,6 +60,7 @@
       percent: 0,
       progressedAt: state.now,
       pace: 100,
+      isPaceKnown: true,
       pacedAt: 0,
       usage: 0,
     };
