Log which hosts come into and leave the provider's list

A host that is missing from one list counts as maintained for its wave, and the logs could not tell whether it came back. The first list of an owner is not logged.

--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -69,7 +69,9 @@
 
   /** Sets the provider's list. */
   setHosts(hosts: readonly Host[]): void {
+    const before = this.#hosts;
     this.#hosts = new Map(hosts.map((host) => [host.name, host]));
+    this.#logChanges(before);
     this.#listedAt = this.#state.now;
   }
 
@@ -166,6 +168,20 @@
     return host.state === HostState.Up;
   }
 
+  /** Logs which hosts have come and gone since the list before, unless this list is the first. */
+  #logChanges(before: ReadonlyMap<string, Host>): void {
+    if (this.#listedAt === -Infinity) return;
+    const listAge = Math.round(this.#state.now - this.#listedAt);
+    const fields = { listed: this.#hosts.size, listAge };
+    for (const { name, pool, state } of this.#hosts.values()) {
+      if (!before.has(name)) this.#state.log("host-listed", { host: name, pool, state, ...fields });
+    }
+    for (const { name, pool, state } of before.values()) {
+      if (this.#hosts.has(name)) continue;
+      this.#state.log("host-not-listed", { host: name, pool, state, ...fields });
+    }
+  }
+
   /** Gets whether an executor has told this owner what earlier ones started there, if any did. */
   #isKnown(executor: Executor): boolean {
     const mayBeUsed = executor.record === ExecutorRecord.Stored;
