Judge a host's absence by lists that were read since its wave was asked for

Cause: the provider's list is read every 3 s while no wave is active, and was taken for as fresh as its arrival. A host that came after the reading and is named by a wave was missing from it, and counted as done at the first tick after the wave was asked for. No second reading was needed, nor a fault: hosts that came up to 3 s before the wave, or while the provider was away.

Change: a list counts from when its reading began, one that a later one has overtaken is dropped, and a host is missing only from a list that was read since its owner learned of the wave.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -246,9 +246,9 @@
     this.#settleUnknown();
   }
 
-  /** Sets the provider's list of hosts. */
-  setHosts(hosts: readonly Host[]): void {
-    this.#hosts.setHosts(hosts);
+  /** Sets the provider's list of hosts, whose reading began at a time on the steady clock. */
+  setHosts(hosts: readonly Host[], readSince: number): void {
+    this.#hosts.setHosts(hosts, readSince);
   }
 
   /** Acts on the answer to an order to maintain a host. */
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -67,15 +67,16 @@
     });
   }
 
-  /** Sets the provider's list. */
-  setHosts(hosts: readonly Host[]): void {
+  /** Sets the provider's list, whose reading began at a time; one that was overtaken is dropped. */
+  setHosts(hosts: readonly Host[], readSince: number): void {
+    if (readSince < this.#listedAt) return;
     const before = this.#hosts;
     this.#hosts = new Map(hosts.map((host) => [host.name, host]));
     this.#logChanges(before);
-    this.#listedAt = this.#state.now;
+    this.#listedAt = readSince;
   }
 
-  /** Gets when the list was set last, on the steady clock. */
+  /** Gets when the reading of the list began, on the steady clock: what came later is not in it. */
   getListedAt(): number {
     return this.#listedAt;
   }
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -62,6 +62,8 @@
   wave: MaintenanceWave;
   places: Map<string, Place>;
   startedAt: number;
+  /** When this owner learned of the wave: a list that was read before says nothing of its hosts. */
+  askedAt: number;
   isCompleted: boolean;
 }
 
@@ -168,6 +170,7 @@
       wave,
       places: new Map(places),
       startedAt: state.now,
+      askedAt: state.now,
       isCompleted: before?.isCompleted ?? false,
     });
     state.ports.writeStatus(wave.number, before?.isCompleted ?? false);
@@ -217,13 +220,14 @@
     const host = hosts.getHosts().get(place.name);
     switch (place.stage) {
       case Stage.Waiting:
-        if (host === undefined) {
+        if (host === undefined && hosts.getListedAt() >= progress.askedAt) {
           this.#logAbsence(progress, place);
           this.#setStage(place, Stage.Done);
         }
         return;
       case Stage.Emptying:
         if (host === undefined) {
+          if (hosts.getListedAt() < progress.askedAt) return;
           this.#logAbsence(progress, place);
           this.#setStage(place, Stage.Done);
           return hosts.release(place.name);
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -89,7 +89,7 @@
   | { kind: "start-answered"; order: StartOrder; answer: OrderAnswer; milliseconds: number }
   | { kind: "stop-answered"; order: StopOrder; answer: OrderAnswer }
   | { kind: "look-answered"; order: LookOrder; sentAt: number; answer: LookAnswer }
-  | { kind: "hosts-listed"; hosts: Host[] | undefined }
+  | { kind: "hosts-listed"; hosts: Host[] | undefined; readSince: number }
   | { kind: "maintain-answered"; order: MaintainOrder; outcome: HostOrderOutcome }
   | { kind: "move-answered"; order: MoveOrder; outcome: HostOrderOutcome }
   | { kind: "advised"; step: string; asked: readonly string[]; advice: Advice | undefined }
@@ -207,7 +207,7 @@
       case "hosts-listed":
         if (message.hosts === undefined) return;
         this.#setMoment();
-        this.#owner?.setHosts(message.hosts);
+        this.#owner?.setHosts(message.hosts, message.readSince);
         break;
       case "maintain-answered":
         this.#setMoment();
@@ -352,8 +352,12 @@
   #createPorts(): OwnerPorts {
     const { executors, getSteady, provider, writeStatus, askAdvice } = this.#options;
     return {
-      listHosts: () =>
-        void provider?.list().then((hosts) => this.post({ kind: "hosts-listed", hosts })),
+      listHosts: () => {
+        const readSince = getSteady();
+        void provider?.list().then((hosts) =>
+          this.post({ kind: "hosts-listed", hosts, readSince })
+        );
+      },
       maintain: (order) =>
         void provider?.maintain(order.host, order.wave, order.fence).then((outcome) =>
           this.post({ kind: "maintain-answered", order, outcome })
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -346,7 +346,8 @@
       askAdvice: () => {},
       listHosts: () => {
         if (this.#options.hosts === undefined) return;
-        this.#readList((hosts) => answer((owner) => owner.setHosts(hosts)));
+        const readSince = this.#now;
+        this.#readList((hosts) => answer((owner) => owner.setHosts(hosts, readSince)));
       },
       maintain: (order) =>
         this.#schedule(1 + this.#random() * 8, () => {
