Count a host as gone after long absence only, and take it back into its wave

Cause: one list without a host made it done for its wave. A host that was away for its maintenance and missing from one list counted as back, so that another one was ordered above the ceiling.

Change: a host without its maintenance has a stage of its own, gone. It gets there once three lists in a row lacked it, for the longest time that a host is on its way between two pools (its maintenance and the 4 s that it may be overdue), and no executor of it is listed. A gone host that is listed again waits for its turn, and a completed wave is shown as running again. A host that is away is back when it is listed, or once it is overdue.

--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -86,6 +86,14 @@
     return this.#hosts;
   }
 
+  /** Gets whether an executor of a host is listed: such a host stays, whatever the provider lists. */
+  hasListedExecutor(name: string): boolean {
+    for (const { entry, isListed } of this.#state.executors.values()) {
+      if (isListed && entry.host === name) return true;
+    }
+    return false;
+  }
+
   /** Gets the executor on a host. */
   getExecutor(host: Host): Executor | undefined {
     const named = this.#state.executors.get(host.executorId);
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -12,6 +12,11 @@
 const WAVE_PREFIX = "wave/";
 /** How long a host may take beyond its maintenance before it counts as back anyway, in milliseconds. */
 const OVERDUE_MILLISECONDS = 4_000;
+/**
+ * How many lists in a row have to lack a host before it counts as gone: a list is read page by page
+ * while hosts change their places, so that one reading may miss a host that stays.
+ */
+const ABSENT_LISTS = 3;
 /** The pause before an order that failed is repeated, in milliseconds. */
 const RETRY_MILLISECONDS = 300;
 /** How long the short tasks of a host may take to end before they are stopped, in milliseconds. */
@@ -34,8 +39,10 @@
   Ordered: "ordered",
   /** It is away. */
   Away: "away",
-  /** It has begun its maintenance and is back, or it left for good. */
+  /** It has begun its maintenance and is back. */
   Done: "done",
+  /** It has left without its maintenance; it waits for its turn again once it is back. */
+  Gone: "gone",
 } as const;
 type Stage = typeof Stage[keyof typeof Stage];
 
@@ -48,6 +55,10 @@
   retryAt: number;
   /** Whether this owner or an earlier one has ordered it. */
   isOrdered: boolean;
+  /** The lists in a row that lack it, all read since the wave was asked for. */
+  absentLists: number;
+  /** Since when they lack it, on the steady clock. */
+  absentSince: number;
 }
 
 /** What is stored of a wave. */
@@ -62,8 +73,8 @@
   wave: MaintenanceWave;
   places: Map<string, Place>;
   startedAt: number;
-  /** When this owner learned of the wave: a list that was read before says nothing of its hosts. */
-  askedAt: number;
+  /** From when on lists are looked at: one that was read before the wave was asked says nothing. */
+  listsSince: number;
   isCompleted: boolean;
 }
 
@@ -128,6 +139,7 @@
     const { state, hosts } = this.#options;
     if (!state.mayStart || hosts.getListedAt() < state.startedAt) return;
     for (const progress of this.#waves.values()) {
+      if (hosts.getListedAt() > progress.listsSince) this.#readList(progress);
       if (!progress.isCompleted) this.#advance(progress);
     }
   }
@@ -154,34 +166,78 @@
   #addWave(wave: MaintenanceWave): void {
     const { state } = this.#options;
     const before = this.#before.get(wave.number);
-    const done = new Set(before?.done);
-    const ordered = new Set(before?.ordered);
     const places = wave.hosts.map((name): [string, Place] => [name, {
       name,
-      // What an earlier owner ordered counts against the ceiling, and is ordered again: once done,
-      // that has no effect.
-      stage: done.has(name) ? Stage.Done : ordered.has(name) ? Stage.Emptying : Stage.Waiting,
+      stage: getFirstStage(name, before),
       since: state.now,
       executorId: "",
       retryAt: 0,
-      isOrdered: ordered.has(name),
+      isOrdered: before?.ordered.includes(name) === true,
+      absentLists: 0,
+      absentSince: 0,
     }]);
     this.#waves.set(wave.number, {
       wave,
       places: new Map(places),
       startedAt: state.now,
-      askedAt: state.now,
+      listsSince: state.now,
       isCompleted: before?.isCompleted ?? false,
     });
     state.ports.writeStatus(wave.number, before?.isCompleted ?? false);
   }
 
+  /** Looks at a list that was read since the last one: which hosts have gone, and which are back. */
+  #readList(progress: WaveProgress): void {
+    const { state, hosts, awayMilliseconds } = this.#options;
+    const listedAt = hosts.getListedAt();
+    progress.listsSince = listedAt;
+    for (const place of progress.places.values()) {
+      if (hosts.getHosts().has(place.name)) {
+        place.absentLists = 0;
+        if (place.stage === Stage.Gone) this.#returnToWave(progress, place);
+        continue;
+      }
+      if (place.absentLists === 0) place.absentSince = listedAt;
+      place.absentLists += 1;
+      const isUnderWay = place.stage === Stage.Waiting || place.stage === Stage.Emptying;
+      // No host that stays is on its way between two pools for longer.
+      const isLong = listedAt - place.absentSince >= awayMilliseconds + OVERDUE_MILLISECONDS;
+      if (!isUnderWay || !isLong || place.absentLists < ABSENT_LISTS) continue;
+      if (hosts.hasListedExecutor(place.name)) continue;
+      state.log("wave-host-gone", this.#describeAbsence(progress, place));
+      this.#setStage(place, Stage.Gone);
+      hosts.release(place.name);
+    }
+  }
+
+  /** Lets a host that had gone wait for its maintenance again, even if its wave was completed. */
+  #returnToWave(progress: WaveProgress, place: Place): void {
+    const { state } = this.#options;
+    state.log("wave-host-returned", {
+      host: place.name,
+      wave: progress.wave.number,
+      gone: Math.round(state.now - place.since),
+      isCompleted: progress.isCompleted,
+    });
+    this.#setStage(place, Stage.Waiting);
+    if (progress.isCompleted) this.#reopen(progress);
+  }
+
+  /** Tells that a wave is not completed any more. */
+  #reopen(progress: WaveProgress): void {
+    const { state } = this.#options;
+    progress.isCompleted = false;
+    progress.startedAt = state.now;
+    state.ports.writeStatus(progress.wave.number, false);
+    state.ports.write([this.#createEntry(progress)], () => {});
+  }
+
   #advance(progress: WaveProgress): void {
     const { state, hosts } = this.#options;
     let open = 0;
     for (const place of progress.places.values()) {
       this.#advancePlace(progress, place);
-      if (place.stage !== Stage.Waiting && place.stage !== Stage.Done) open += 1;
+      if (isOpen(place.stage)) open += 1;
     }
     const waiting = [...progress.places.values()].filter(({ stage }) => stage === Stage.Waiting);
     const known = waiting.map((place) => hosts.getHosts().get(place.name))
@@ -219,18 +275,11 @@
     const { state, hosts, awayMilliseconds } = this.#options;
     const host = hosts.getHosts().get(place.name);
     switch (place.stage) {
-      case Stage.Waiting:
-        if (host === undefined && hosts.getListedAt() >= progress.askedAt) {
-          this.#logAbsence(progress, place);
-          this.#setStage(place, Stage.Done);
-        }
-        return;
       case Stage.Emptying:
         if (host === undefined) {
-          if (hosts.getListedAt() < progress.askedAt) return;
-          this.#logAbsence(progress, place);
-          this.#setStage(place, Stage.Done);
-          return hosts.release(place.name);
+          // One that an earlier owner ordered may be away: it counts against the ceiling.
+          if (!place.isOrdered) this.#leaveTurn(progress, place);
+          return;
         }
         // A host that an earlier owner ordered is not reserved by this one yet.
         hosts.reserve(host, "maintenance");
@@ -245,9 +294,9 @@
         if (place.retryAt !== 0 && state.now >= place.retryAt) this.#order(progress, place);
         return;
       case Stage.Away: {
-        const isBack = host === undefined ||
-          (hosts.isUp(host) && hosts.getListedAt() > place.since + awayMilliseconds / 2 &&
-            host.executorId !== "" && state.executors.get(host.executorId)?.isFenced === true);
+        const isBack = host !== undefined && hosts.isUp(host) &&
+          hosts.getListedAt() > place.since + awayMilliseconds / 2 &&
+          host.executorId !== "" && state.executors.get(host.executorId)?.isFenced === true;
         const isOverdue = state.now - place.since > awayMilliseconds + OVERDUE_MILLISECONDS &&
           (host === undefined || hosts.isUp(host));
         if (isBack || isOverdue) this.#finish(progress, place);
@@ -281,15 +330,25 @@
     state.ports.maintain({ host: place.name, wave: progress.wave.number, fence: state.fence });
   }
 
-  #logAbsence(progress: WaveProgress, place: Place): void {
+  /** Lets a host that is being emptied wait again, and another one have its turn. */
+  #leaveTurn(progress: WaveProgress, place: Place): void {
+    const { state, hosts } = this.#options;
+    state.log("wave-host-absent", this.#describeAbsence(progress, place));
+    this.#setStage(place, Stage.Waiting);
+    hosts.release(place.name);
+  }
+
+  #describeAbsence(progress: WaveProgress, place: Place) {
     const { state, hosts } = this.#options;
-    state.log("wave-host-absent", {
+    return {
       host: place.name,
       wave: progress.wave.number,
       stage: place.stage,
+      lists: place.absentLists,
+      absent: Math.round(state.now - place.absentSince),
       listed: hosts.getHosts().size,
       listAge: Math.round(state.now - hosts.getListedAt()),
-    });
+    };
   }
 
   #finish(progress: WaveProgress, place: Place): void {
@@ -309,14 +368,21 @@
     const { state } = this.#options;
     progress.isCompleted = true;
     const { number } = progress.wave;
-    state.ports.write([this.#createEntry(progress)], () => state.ports.writeStatus(number, true));
+    state.ports.write([this.#createEntry(progress)], () => {
+      if (progress.isCompleted) state.ports.writeStatus(number, true);
+    });
     state.log("wave-completed", {
       wave: number,
+      gone: this.#count(progress, Stage.Gone),
       took: Math.round(state.now - progress.startedAt),
       asked: progress.wave.durationMilliseconds,
     });
   }
 
+  #count(progress: WaveProgress, stage: Stage): number {
+    return [...progress.places.values()].filter((place) => place.stage === stage).length;
+  }
+
   #endExecutor(place: Place): void {
     const { state, endExecutor } = this.#options;
     const executor = state.executors.get(place.executorId);
@@ -341,3 +407,17 @@
     return { key: WAVE_PREFIX + progress.wave.number, value: encoder.encode(record) };
   }
 }
+
+/** Gets whether a host has its turn: it counts against the ceiling. */
+function isOpen(stage: Stage): boolean {
+  return stage !== Stage.Waiting && stage !== Stage.Done && stage !== Stage.Gone;
+}
+
+/** Gets how far a host is by what earlier owners stored. */
+function getFirstStage(name: string, before: WaveRecord | undefined): Stage {
+  if (before?.done.includes(name)) return Stage.Done;
+  // What an earlier owner ordered counts against the ceiling, and is ordered again: once done, that
+  // has no effect.
+  if (before?.ordered.includes(name)) return Stage.Emptying;
+  return before?.isCompleted ? Stage.Gone : Stage.Waiting;
+}
