Order a host again that the provider refused for its wave

Cause: the answer that there is no such host (400), or that it is not of the wave (409), made the host done. The provider may learn of a wave later than the owner; then every host of it was refused, and the wave completed without one of them maintained.

Change: a refusal is no maintenance. The host is released and waits for its turn again, after 1 s and twice as long each time, up to 16 s, since it is emptied for each order. Whether it has gone is told by the lists. A wave with a host that the provider refuses for good stays running.

--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -19,6 +19,13 @@
 const ABSENT_LISTS = 3;
 /** The pause before an order that failed is repeated, in milliseconds. */
 const RETRY_MILLISECONDS = 300;
+/**
+ * The first and the longest pause before a host is ordered again that the provider knows of no such
+ * wave for, in milliseconds: it may learn of a wave later than the owner, as from an old reading of
+ * the store, and a host is emptied for each order.
+ */
+const FIRST_REFUSAL_MILLISECONDS = 1_000;
+const LONGEST_REFUSAL_MILLISECONDS = 16_000;
 /** How long the short tasks of a host may take to end before they are stopped, in milliseconds. */
 const PATIENCE_MILLISECONDS = 3_000;
 /** The part of a wave's time that is planned with. */
@@ -55,6 +62,8 @@
   retryAt: number;
   /** Whether this owner or an earlier one has ordered it. */
   isOrdered: boolean;
+  /** How often in a row the provider answered that it can't be maintained for the wave. */
+  refusals: number;
   /** The lists in a row that lack it, all read since the wave was asked for. */
   absentLists: number;
   /** Since when they lack it, on the steady clock. */
@@ -155,7 +164,10 @@
         this.#endExecutor(place);
         return this.#setStage(place, Stage.Away);
       case HostOrderOutcome.Impossible:
-        this.#setStage(place, Stage.Done);
+        // That is no maintenance. Whether the host has gone is told by the lists.
+        this.#setStage(place, Stage.Waiting);
+        place.retryAt = state.now + getRefusalPause(place.refusals);
+        place.refusals += 1;
         return hosts.release(order.host);
       default:
         // Repeating is harmless: the order for one wave is carried out once.
@@ -173,6 +185,7 @@
       executorId: "",
       retryAt: 0,
       isOrdered: before?.ordered.includes(name) === true,
+      refusals: 0,
       absentLists: 0,
       absentSince: 0,
     }]);
@@ -240,8 +253,8 @@
       if (isOpen(place.stage)) open += 1;
     }
     const waiting = [...progress.places.values()].filter(({ stage }) => stage === Stage.Waiting);
-    const known = waiting.map((place) => hosts.getHosts().get(place.name))
-      .filter((host) => host !== undefined);
+    const known = waiting.filter(({ retryAt }) => state.now >= retryAt)
+      .map((place) => hosts.getHosts().get(place.name)).filter((host) => host !== undefined);
     for (const host of known) hosts.markDue(host);
     known.sort((first, second) => hosts.getBurden(first) - hosts.getBurden(second));
     // The most burdened host is begun along with the least: its lasting tasks move one by one.
@@ -408,6 +421,11 @@
   }
 }
 
+/** Gets the pause after a refusal: twice the one before, up to the longest. */
+function getRefusalPause(refusalsBefore: number): number {
+  return Math.min(FIRST_REFUSAL_MILLISECONDS * 2 ** refusalsBefore, LONGEST_REFUSAL_MILLISECONDS);
+}
+
 /** Gets whether a host has its turn: it counts against the ceiling. */
 function isOpen(stage: Stage): boolean {
   return stage !== Stage.Waiting && stage !== Stage.Done && stage !== Stage.Gone;
