Take over a later record of a wave

Cause: only the first record of a wave was read. Hosts that a later record adds were never maintained, and the wave was or stayed completed without them.

Change: the newest record counts. Hosts that it adds wait for their turn, and a completed wave that gets some is shown as running again; hosts that it leaves out are dropped, unless they are ordered already: those are waited for, since they count against the ceiling.

Evidence: the test "a wave's later record with more hosts" failed before, before and after the wave was completed.

--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -121,10 +121,12 @@
     return new Maintenance(options);
   }
 
-  /** Sets the waves that operators ask for. */
+  /** Sets the waves that operators ask for; the newest record of a wave counts. */
   setWaves(waves: ReadonlyMap<number, MaintenanceWave>): void {
     for (const [number, wave] of waves) {
-      if (!this.#waves.has(number)) this.#addWave(wave);
+      const progress = this.#waves.get(number);
+      if (progress === undefined) this.#addWave(wave);
+      else if (progress.wave !== wave) this.#changeWave(progress, wave);
     }
   }
 
@@ -156,8 +158,9 @@
   /** Acts on the answer to an order. */
   handleAnswer(order: MaintainOrder, outcome: HostOrderOutcome): void {
     const { state, hosts } = this.#options;
-    const place = this.#waves.get(order.wave)?.places.get(order.host);
-    if (place === undefined || place.stage !== Stage.Ordered) return;
+    const progress = this.#waves.get(order.wave);
+    const place = progress?.places.get(order.host);
+    if (progress === undefined || place?.stage !== Stage.Ordered) return;
     state.log("maintenance-answered", { host: order.host, wave: order.wave, outcome });
     switch (outcome) {
       case HostOrderOutcome.Done:
@@ -168,6 +171,7 @@
         this.#setStage(place, Stage.Waiting);
         place.retryAt = state.now + getRefusalPause(place.refusals);
         place.refusals += 1;
+        if (!progress.wave.hosts.includes(order.host)) progress.places.delete(order.host);
         return hosts.release(order.host);
       default:
         // Repeating is harmless: the order for one wave is carried out once.
@@ -178,25 +182,55 @@
   #addWave(wave: MaintenanceWave): void {
     const { state } = this.#options;
     const before = this.#before.get(wave.number);
-    const places = wave.hosts.map((name): [string, Place] => [name, {
+    this.#waves.set(wave.number, {
+      wave,
+      places: new Map(wave.hosts.map((name) => [name, this.#createPlace(name, before)])),
+      startedAt: state.now,
+      listsSince: state.now,
+      isCompleted: before?.isCompleted ?? false,
+    });
+    state.ports.writeStatus(wave.number, before?.isCompleted ?? false);
+  }
+
+  #createPlace(name: string, before: WaveRecord | undefined): Place {
+    return {
       name,
       stage: getFirstStage(name, before),
-      since: state.now,
+      since: this.#options.state.now,
       executorId: "",
       retryAt: 0,
       isOrdered: before?.ordered.includes(name) === true,
       refusals: 0,
       absentLists: 0,
       absentSince: 0,
-    }]);
-    this.#waves.set(wave.number, {
-      wave,
-      places: new Map(places),
-      startedAt: state.now,
-      listsSince: state.now,
-      isCompleted: before?.isCompleted ?? false,
+    };
+  }
+
+  /** Takes over a later record of a wave; a host that was ordered is seen back in any case. */
+  #changeWave(progress: WaveProgress, wave: MaintenanceWave): void {
+    const { state, hosts } = this.#options;
+    progress.wave = wave;
+    progress.listsSince = state.now;
+    const names = new Set(wave.hosts);
+    const added = wave.hosts.filter((name) => !progress.places.has(name));
+    for (const name of added) progress.places.set(name, this.#createPlace(name, undefined));
+    const removed = [...progress.places.values()].filter(({ name, stage, isOrdered }) =>
+      !names.has(name) && !(isOrdered && isOpen(stage))
+    );
+    for (const { name, stage } of removed) {
+      progress.places.delete(name);
+      if (isOpen(stage)) hosts.release(name);
+    }
+    const { isCompleted } = progress;
+    if (added.length === 0 && removed.length === 0) return;
+    state.log("wave-changed", {
+      wave: wave.number,
+      hosts: wave.hosts.length,
+      added: added.length,
+      removed: removed.length,
+      isCompleted,
     });
-    state.ports.writeStatus(wave.number, before?.isCompleted ?? false);
+    if (isCompleted && added.length > 0) this.#reopen(progress);
   }
 
   /** Looks at a list that was read since the last one: which hosts have gone, and which are back. */
