Tell operators how far a wave is in order, and under the owner's epoch

Cause: each status was written by a loop of its own that went on for 10 s, also after its owner had lost the claim. A "running" that the store refused at first replaced the "completed" that was written in between, and nothing wrote it again; a status without an answer could be done seconds later.

A later owner's first status turns away what an earlier one still sends. They are repeated until stored, no longer 40 times at most.

--- a/src/ownership/journal_task.ts
+++ b/src/ownership/journal_task.ts
@@ -3,7 +3,7 @@
 import type { EventLog } from "../events/mod.ts";
 import type { JournalEntry } from "../owner/owner_ports.ts";
 import { Task } from "../tasks/mod.ts";
-import type { JournalAppendResult, JournalStore } from "./ownership_ports.ts";
+import type { EntryStore, JournalAppendResult } from "./ownership_ports.ts";
 
 /** The most entries of one append. */
 const MOST_ENTRIES = 500;
@@ -25,8 +25,8 @@
 
 /** Options of a `JournalTask`. */
 export interface JournalTaskOptions {
-  /** Where the journal lasts. */
-  store: JournalStore;
+  /** Where the entries last. */
+  store: EntryStore;
   /** The epoch of this owner. */
   epoch: number;
   /** The sequence number of the first append. */
--- a/src/ownership/ownership_ports.ts
+++ b/src/ownership/ownership_ports.ts
@@ -10,14 +10,18 @@
   | { outcome: "refused"; status: number }
   | { outcome: "unanswered"; reason: string };
 
-/** The journal: entries by key, written by one owner at a time. */
-export interface JournalStore {
+/** Entries by key, written by one owner at a time. */
+export interface EntryStore {
   /** Appends entries under an epoch, all or nothing; none only sets the epoch. */
   append: (
     entries: readonly JournalEntry[],
     epoch: number,
     sequence: number,
   ) => Promise<JournalAppendResult>;
+}
+
+/** The journal: a later owner reads what earlier ones wrote. */
+export interface JournalStore extends EntryStore {
   /** Gets the newest value of each key, or undefined if the store does not answer. */
   readAll: () => Promise<[string, Uint8Array][] | undefined>;
 }
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -9,6 +9,7 @@
 import { formatSocketAddress } from "../links/socket_address.ts";
 import { OwnerTask } from "../owner/owner_task.ts";
 import { getClaimDelay } from "../ownership/claim_delay.ts";
+import { JournalTask } from "../ownership/journal_task.ts";
 import { OwnershipTask, type OwnershipView } from "../ownership/ownership_task.ts";
 import type { Claim } from "../ownership/ownership_ports.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
@@ -26,9 +27,10 @@
   CLAIMS_TOPIC,
   createClaimAppend,
   createJournalStore,
+  createStatusStore,
+  createWaveStatusEntry,
   decodeClaim,
   FLEET_CLAIM_KEY,
-  writeWaveStatus,
 } from "./store_ports.ts";
 
 /** How long a read of operators' records or claims waits, in milliseconds: freshness is proved as often. */
@@ -76,7 +78,13 @@
   readonly #metrics: HostMetrics;
   readonly #readiness: Server;
   #owner:
-    | { task: OwnerTask; epoch: number; topic: KeyedTopicTask; client: ExecutorClient }
+    | {
+      task: OwnerTask;
+      epoch: number;
+      topic: KeyedTopicTask;
+      client: ExecutorClient;
+      statuses: JournalTask;
+    }
     | undefined;
   #claim: Claim | undefined;
   #isStopping = false;
@@ -301,6 +309,7 @@
     const { bounds } = this.#settings;
     const client = ExecutorClient.create(this.#log);
     const list = ExecutorList.create(this.#log);
+    const statuses = this.#createStatuses(epoch);
     this.#log("owner-started", { epoch, handedOver: previousClaim?.isReleased === true });
     const task = OwnerTask.create({
       epoch,
@@ -310,7 +319,11 @@
       provider: this.#provider,
       askAdvice: async (step, executors) => await this.#adviser?.ask(step, executors),
       writeStatus: (wave, isCompleted) =>
-        void writeWaveStatus(this.#store, wave, isCompleted, this.#log),
+        void statuses.post({
+          kind: "write",
+          entries: [createWaveStatusEntry(wave, isCompleted)],
+          onStored: () => this.#log("wave-status-written", { wave, isCompleted, epoch }),
+        }),
       providerLeaseMilliseconds: bounds.providerLeaseMilliseconds,
       maintenanceMilliseconds: bounds.maintenanceMilliseconds,
       limits: {
@@ -331,16 +344,29 @@
       client.keepOnly(new Set(entries.map((entry) => entry.id)));
       task.post({ kind: "executors", entries });
     });
-    this.#owner = { task, epoch, topic, client };
+    this.#owner = { task, epoch, topic, client, statuses };
     this.#tellOwner();
   }
 
+  /** Writes statuses in the order in which they are told, until a later owner writes one. */
+  #createStatuses(epoch: number): JournalTask {
+    return JournalTask.create({
+      store: createStatusStore(this.#store),
+      epoch,
+      firstSequence: 1,
+      onFenced: () => this.#log("wave-status-fenced", { epoch }),
+      onAppended: () => {},
+      log: (event, fields) => this.#log(event, { ...fields, topic: "status" }),
+    });
+  }
+
   #closeOwner(reason: string): void {
     const owner = this.#owner;
     if (owner === undefined) return;
     this.#owner = undefined;
     this.#log("owner-ended", { epoch: owner.epoch, reason });
     owner.task.stop();
+    owner.statuses.stop();
     owner.topic.stop();
     owner.client.keepOnly(new Set());
   }
--- a/src/platform/store_ports.ts
+++ b/src/platform/store_ports.ts
@@ -1,11 +1,12 @@
 /** The project's journal, claims and followed topics on the platform's store. */
 
 import { Decoder, Encoder } from "cbor-x";
-import type { EventLog } from "../events/mod.ts";
+import type { JournalEntry } from "../owner/owner_ports.ts";
 import type {
   AppendClaim,
   Claim,
   ClaimAppendResult,
+  EntryStore,
   JournalStore,
 } from "../ownership/ownership_ports.ts";
 import { encodeKeyedRecord, type StoreClient } from "./store_client.ts";
@@ -18,6 +19,10 @@
 const JOURNAL_TOPIC = "keyed.journal";
 /** The producer of the journal: one name for all owners, since an epoch only fences its own producer. */
 const JOURNAL_PRODUCER = "fleet-owner";
+/** The topic of what the system tells operators. */
+const STATUS_TOPIC = "keyed.status";
+/** The producer of statuses: like that of the journal, one name for all owners. */
+const STATUS_PRODUCER = "fleet-owner";
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
@@ -26,15 +31,7 @@
 export function createJournalStore(store: StoreClient): JournalStore {
   const partition = { topic: JOURNAL_TOPIC, part: 0 };
   return {
-    append: async (entries, epoch, sequence) => {
-      const result = await store.append({
-        ...partition,
-        records: entries.map((entry) => encodeKeyedRecord(entry.key, entry.value)),
-        producer: { name: JOURNAL_PRODUCER, epoch, sequence },
-      });
-      if (result.outcome === "wrong-end") return { outcome: "refused", status: 412 };
-      return result;
-    },
+    append: createAppend(store, JOURNAL_TOPIC, JOURNAL_PRODUCER),
     readAll: async () => {
       const newest = await store.readNewest(partition);
       if (newest.outcome !== "done") return undefined;
@@ -67,26 +64,26 @@
   }
 }
 
-/** The topic of what the system tells operators. */
-const STATUS_TOPIC = "keyed.status";
-/** The pause before a status that was not stored is written again, in milliseconds. */
-const STATUS_RETRY_MILLISECONDS = 250;
-/** How often a status is written before it is given up; the next owner writes it again. */
-const STATUS_ATTEMPTS = 40;
+/** Creates the topic of what operators are told: a later owner's first status ends an earlier one's. */
+export function createStatusStore(store: StoreClient): EntryStore {
+  return { append: createAppend(store, STATUS_TOPIC, STATUS_PRODUCER) };
+}
 
-/** Tells operators how far a wave is, again until it is stored. */
-export async function writeWaveStatus(
-  store: StoreClient,
-  wave: number,
-  isCompleted: boolean,
-  log: EventLog,
-): Promise<void> {
+/** Creates the entry that tells operators how far a wave is. */
+export function createWaveStatusEntry(wave: number, isCompleted: boolean): JournalEntry {
   const state = isCompleted ? "completed" : "running";
-  const record = encodeKeyedRecord(`wave/${wave}`, Buffer.from(JSON.stringify({ wave, state })));
-  for (let attempt = 1; attempt <= STATUS_ATTEMPTS; attempt += 1) {
-    const result = await store.append({ topic: STATUS_TOPIC, part: 0, records: [record] });
-    if (result.outcome === "done") return log("wave-status-written", { wave, state, attempt });
-    await new Promise((resolve) => setTimeout(resolve, STATUS_RETRY_MILLISECONDS));
-  }
-  log("wave-status-not-written", { step: "append", wave, state, attempts: STATUS_ATTEMPTS });
+  return { key: `wave/${wave}`, value: Buffer.from(JSON.stringify({ wave, state })) };
+}
+
+function createAppend(store: StoreClient, topic: string, producer: string): EntryStore["append"] {
+  return async (entries, epoch, sequence) => {
+    const result = await store.append({
+      topic,
+      part: 0,
+      records: entries.map((entry) => encodeKeyedRecord(entry.key, entry.value)),
+      producer: { name: producer, epoch, sequence },
+    });
+    if (result.outcome === "wrong-end") return { outcome: "refused", status: 412 };
+    return result;
+  };
 }
