--- a/src/owner/fleet_hosts_test.ts
+++ b/src/owner/fleet_hosts_test.ts
@@ -407,6 +407,8 @@
       [],
     ],
     ["ONE", { losesHostOrders: true }, ["none", "none", "owner", "none", "owner", "none", "owner"]],
+    ["MIXED", { wave: (wave) => ({ ...wave, hosts: wave.hosts.slice(1) }) }, []],
+    ["LIMIT", { wave: (wave) => ({ ...wave, ceiling: 9 }) }, []],
     ["LOST", { entry: (entry) => ({ ...entry, isDraining: true }) }, []],
     [
       "DRAIN",
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -591,7 +591,8 @@
   #tellRequests(): void {
     if (this.#options.lies?.hidesEvacuation) return;
     const evacuatedZones = new Set(this.#evacuatedZones);
-    const waves = new Map(this.#waves);
+    const tell = this.#options.lies?.wave ?? ((wave: MaintenanceWave) => wave);
+    const waves = new Map([...this.#waves].map(([number, wave]) => [number, tell(wave)]));
     this.#withOwner((owner) => owner.setRequests({ evacuatedZones, waves }));
   }
 
--- a/src/platform/stand_in/world_options.ts
+++ b/src/platform/stand_in/world_options.ts
@@ -4,6 +4,7 @@
 import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
 import type { Host } from "../../fleet/host.ts";
 import type { JobSpecification } from "../../fleet/job_specification.ts";
+import type { MaintenanceWave } from "../../fleet/maintenance_wave.ts";
 import type { CapacityTerms } from "../../owner/pool_need.ts";
 import type { RunPlan } from "./executor_model.ts";
 
@@ -25,6 +26,8 @@
   job?: (job: JobSpecification) => JobSpecification;
   /** Changes the configuration that the owner sees. */
   configuration?: (data: ConfigurationData) => ConfigurationData;
+  /** Changes the waves that the owner sees. */
+  wave?: (wave: MaintenanceWave) => MaintenanceWave;
   /** Whether the owner is not told of evacuated zones. */
   hidesEvacuation?: boolean;
   /** Whether a new owner finds no records of what ran. */
