--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -67,13 +67,16 @@
     });
   }
 
-  /** Sets the provider's list. */
-  setHosts(hosts: readonly Host[]): void {
+  /** Sets the provider's list, whose reading began at a time; one that was overtaken is dropped. */
+  setHosts(hosts: readonly Host[], readSince: number): void {
+    if (readSince < this.#listedAt) return;
+    const before = this.#hosts;
     this.#hosts = new Map(hosts.map((host) => [host.name, host]));
-    this.#listedAt = this.#state.now;
+    this.#logChanges(before);
+    this.#listedAt = readSince;
   }
 
-  /** Gets when the list was set last, on the steady clock. */
+  /** Gets when the reading of the list began, on the steady clock: what came later is not in it. */
   getListedAt(): number {
     return this.#listedAt;
   }
@@ -83,6 +86,14 @@
     return this.#hosts;
   }
 
+  /** Gets whether an executor of a host is listed: such a host stays, whatever the provider lists. */
+  hasListedExecutor(name: string): boolean {
+    for (const { entry, isListed } of this.#state.executors.values()) {
+      if (isListed && entry.host === name) return true;
+    }
+    return false;
+  }
+
   /** Gets the executor on a host. */
   getExecutor(host: Host): Executor | undefined {
     const named = this.#state.executors.get(host.executorId);
@@ -166,6 +177,20 @@
     return host.state === HostState.Up;
   }
 
+  /** Logs which hosts have come and gone since the list before, unless this list is the first. */
+  #logChanges(before: ReadonlyMap<string, Host>): void {
+    if (this.#listedAt === -Infinity) return;
+    const listAge = Math.round(this.#state.now - this.#listedAt);
+    const fields = { listed: this.#hosts.size, listAge };
+    for (const { name, pool, state } of this.#hosts.values()) {
+      if (!before.has(name)) this.#state.log("host-listed", { host: name, pool, state, ...fields });
+    }
+    for (const { name, pool, state } of before.values()) {
+      if (this.#hosts.has(name)) continue;
+      this.#state.log("host-not-listed", { host: name, pool, state, ...fields });
+    }
+  }
+
   /** Gets whether an executor has told this owner what earlier ones started there, if any did. */
   #isKnown(executor: Executor): boolean {
     const mayBeUsed = executor.record === ExecutorRecord.Stored;
--- a/src/platform/stand_in/world_options.ts
+++ b/src/platform/stand_in/world_options.ts
@@ -4,6 +4,7 @@
 import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
 import type { Host } from "../../fleet/host.ts";
 import type { JobSpecification } from "../../fleet/job_specification.ts";
+import type { MaintenanceWave } from "../../fleet/maintenance_wave.ts";
 import type { CapacityTerms } from "../../owner/pool_need.ts";
 import type { RunPlan } from "./executor_model.ts";
 
@@ -27,6 +28,8 @@
   job?: (job: JobSpecification) => JobSpecification;
   /** Changes the configuration that the owner sees. */
   configuration?: (data: ConfigurationData) => ConfigurationData;
+  /** Changes the waves that the owner sees. */
+  wave?: (wave: MaintenanceWave) => MaintenanceWave;
   /** Whether the owner is not told of evacuated zones. */
   hidesEvacuation?: boolean;
   /** Whether a new owner finds no records of what ran. */
@@ -37,6 +40,14 @@
   losesHostOrders?: boolean;
 }
 
+/** How the provider's list is read. */
+export interface WorldListing {
+  /** How many hosts a page has. */
+  pageHosts: number;
+  /** How long a page takes at most, in milliseconds. */
+  pageMilliseconds: number;
+}
+
 /** Options of a `FleetWorld`. */
 export interface FleetWorldOptions {
   /** The seed of everything random. */
@@ -49,6 +60,10 @@
   executors?: readonly ExecutorEntry[];
   /** The provider's hosts; each in a pool that is no spare one has an executor. */
   hosts?: readonly Host[];
+  /** How the provider's list is read; left out, at once. */
+  listing?: WorldListing | undefined;
+  /** How long after the owner the provider learns which hosts are of a wave, in milliseconds. */
+  waveDelayMilliseconds?: number;
   /** How the sizes of pools follow their load, where not as usual. */
   capacityTerms?: CapacityTerms;
   /** Decides how a run goes. */
