Check in the random runs what callers are told of every job

Cause: the checks around the owner's decisions knew only two wrong answers, a wave completed without a host and a job failed without cause.

Change: at every step, and right after each take-over, every job is asked for. Completed needs an end as done of every task on the executors; what was shown as over stays; an accepted job is known; failed and cancelled have a cause; jobs that nobody submitted are unknown. The world can answer appends late (a random source of its own keeps the plays of the seeded tests as they were) and give each owner a clock of its own. A cancel that was asked for and never answered may have been stored, so such a job need not be served.

Evidence: each check fails on an owner that is told falsely (six lies).

--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -1,8 +1,11 @@
 import test from "ava";
+import { decode as decodeCbor, encode as encodeCbor } from "cbor-x";
 import fc from "fast-check";
 import type { ConfigurationData } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import { JobState } from "../fleet/job.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
+import { RunEnd } from "../fleet/run.ts";
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
 import { getRunOptions } from "../tests/run_options.ts";
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
@@ -216,3 +219,62 @@
   });
   t.deepEqual(seen, cases.map(([rule]) => [rule, true]));
 });
+
+test("each check of what callers are told fails on an owner that is told falsely", (t) => {
+  const without = (prefix: string) => (entries: [string, Uint8Array][]) =>
+    entries.filter(([key]) => !key.startsWith(prefix));
+  const cases: [line: RegExp, lies: WorldLies, happenings: string[]][] = [
+    [/^LOST: job\d+ is accepted and not known/, { stored: without("job/job") }, ["none", "owner"]],
+    [
+      /^MIXED: job\d+ was shown as completed and is queued/,
+      { stored: without("progress/") },
+      ["none", "none", "none", "none", "owner"],
+    ],
+    [
+      /^MIXED: job\d+ is completed without/,
+      {
+        report: (report) => ({
+          ...report,
+          ended: report.running.map(({ task, run }, index) => ({
+            number: report.executorTime + index,
+            task,
+            run,
+            end: RunEnd.Done,
+            checkpoint: "",
+          })),
+        }),
+      },
+      [],
+    ],
+    [
+      /^MIXED: nobody was never submitted/,
+      {
+        stored: (entries) => {
+          const found = entries.find(([key]) => key.startsWith("job/"));
+          const over = { outcome: JobState.Cancelled, endedAt: 0, doneOccurrences: [], tasks: [] };
+          return found === undefined
+            ? entries
+            : [...entries, ["job/nobody", found[1]], ["progress/nobody", encodeCbor(over)]];
+        },
+      },
+      ["none", "owner"],
+    ],
+    ...[JobState.Cancelled, JobState.Failed].map((outcome): [RegExp, WorldLies, string[]] => [
+      new RegExp(`^LOST: job\\d+ is shown as ${outcome}`),
+      {
+        stored: (entries) =>
+          entries.map(([key, value]) =>
+            key.startsWith("progress/")
+              ? [key, encodeCbor({ ...decodeCbor(value), outcome })]
+              : [key, value]
+          ),
+      },
+      ["none", "owner"],
+    ]),
+  ];
+  const seen = cases.map(([line, lies, happenings]) => {
+    const world = play({ seed: 7, faults: NO_FAULTS, happenings, lies });
+    return [line.source, world.violations.some((violation) => line.test(violation))];
+  });
+  t.deepEqual(seen, cases.map(([line]) => [line.source, true]));
+});
--- a/src/platform/stand_in/fleet_checks.ts
+++ b/src/platform/stand_in/fleet_checks.ts
@@ -2,7 +2,9 @@
 
 import type { ConfigurationData } from "../../fleet/configuration.ts";
 import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
+import { JobState } from "../../fleet/job.ts";
 import {
+  formatTaskName,
   type JobSpecification,
   parseTaskName,
   type StepSpecification,
@@ -14,6 +16,9 @@
 /** How long an acknowledged cancel or request may take until no start follows, in milliseconds. */
 const REACTION_MILLISECONDS = 1_000;
 
+/** Jobs that no caller submits, and that callers ask for all the same. */
+export const UNSUBMITTED_JOBS: readonly string[] = ["nobody", "00000000000000ff"];
+
 /** Options of `FleetChecks`. */
 export interface FleetChecksOptions {
   /** What operators have published. */
@@ -41,6 +46,10 @@
   readonly #options: FleetChecksOptions;
   readonly #jobs = new Map<string, KnownJob>();
   readonly #accepted = new Set<string>();
+  /** The jobs that callers asked to cancel, acknowledged or not. */
+  readonly #cancelAsked = new Set<string>();
+  /** The jobs that were shown as over, with what was shown. */
+  readonly #shownOver = new Map<string, string>();
   readonly #cancelledAt = new Map<string, number>();
   readonly #done = new Set<string>();
   /** The tasks whose end was lost with its executor: they may start again. */
@@ -77,6 +86,11 @@
     this.#accepted.add(id);
   }
 
+  /** Notes that a caller asks to cancel a job. */
+  addCancelAsked(id: string): void {
+    this.#cancelAsked.add(id);
+  }
+
   /** Notes that a cancel was acknowledged. */
   addCancel(id: string, now: number): void {
     this.#cancelledAt.set(id, now);
@@ -182,15 +196,11 @@
     for (const [run, isAtWork] of runs) this.handleEnd(run, RunEnd.Stopped, now, isAtWork);
   }
 
-  /** Checks that a job is shown as failed only if a task of it has failed as often as it may. */
+  /** Checks what callers are told of every job, and of one that nobody submitted. */
   checkShownJobs(getState: (id: string) => string | undefined): void {
-    const limit = this.#getAttemptLimit();
-    for (const id of this.#jobs.keys()) {
-      if (getState(id) !== "failed") continue;
-      const hasCause = [...this.#failures].some(([task, count]) =>
-        task.startsWith(`${id}.`) && count >= limit
-      );
-      if (!hasCause) this.addViolation("LOST", `${id} is shown as failed`);
+    for (const id of this.#jobs.keys()) this.#checkShown(id, getState(id));
+    for (const id of UNSUBMITTED_JOBS) {
+      if (getState(id) !== undefined) this.addViolation("MIXED", `${id} was never submitted`);
     }
   }
 
@@ -199,6 +209,8 @@
     for (const [id, { specification }] of this.#jobs) {
       if (!this.#accepted.has(id) || this.#cancelledAt.has(id)) continue;
       const state = getState(id);
+      // A cancel that was asked for and not answered may have been stored.
+      if (state === JobState.Cancelled && this.#cancelAsked.has(id)) continue;
       if (state === "completed" || state === "failed") continue;
       specification.steps.forEach((step, number) => {
         for (let index = 0; index < step.count; index += 1) {
@@ -236,6 +248,54 @@
     }
   }
 
+  /** Checks that a job is known, over only with cause, and stays as it was shown at its end. */
+  #checkShown(id: string, state: string | undefined): void {
+    if (state === undefined && this.#accepted.has(id)) {
+      this.addViolation("LOST", `${id} is accepted and not known`);
+    }
+    const before = this.#shownOver.get(id);
+    if (before !== undefined) {
+      if (before === state) return;
+      this.#shownOver.delete(id);
+      this.addViolation("MIXED", `${id} was shown as ${before} and is ${state}`);
+    }
+    if (state === undefined || !isOver(state)) return;
+    this.#shownOver.set(id, state);
+    if (state === JobState.Completed) {
+      const task = this.#findNotDone(id);
+      if (task !== undefined) this.addViolation("MIXED", `${id} is completed without ${task}`);
+    }
+    if (state === JobState.Failed && !this.#hasFailed(id)) {
+      this.addViolation("LOST", `${id} is shown as failed`);
+    }
+    if (state === JobState.Cancelled && !this.#cancelAsked.has(id)) {
+      this.addViolation("LOST", `${id} is shown as cancelled`);
+    }
+  }
+
+  /** Gets a task of a job that no executor has ended as done; one end stands for a whole gang. */
+  #findNotDone(id: string): string | undefined {
+    const { steps, repeats } = this.#jobs.get(id)!.specification;
+    for (let occurrence = 0; occurrence < Math.max(1, repeats); occurrence += 1) {
+      for (const [number, { count, isGang }] of steps.entries()) {
+        const names = Array.from(
+          { length: count },
+          (_, index) => formatTaskName({ jobId: id, occurrence, step: number, index }),
+        );
+        if (isGang && names.some((name) => this.#done.has(name))) continue;
+        const missing = names.find((name) => !this.#done.has(name));
+        if (missing !== undefined) return missing;
+      }
+    }
+    return undefined;
+  }
+
+  /** Gets whether a task of a job has failed as often as it may. */
+  #hasFailed(id: string): boolean {
+    const limit = this.#getAttemptLimit();
+    return [...this.#failures].some(([task, count]) => task.startsWith(`${id}.`) && count >= limit);
+  }
+
   /** Judges that an order ends a lasting task at work: enough others of its step must not be away. */
   #judgeAbsence(task: string, now: number): void {
     const step = this.getStep(task);
@@ -253,3 +313,7 @@
     return this.#options.configuration.queues[0]!.attemptLimit;
   }
 }
+
+function isOver(state: string): boolean {
+  return state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
+}
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -26,6 +26,8 @@
 const LEASE_MILLISECONDS = 3_000;
 /** How long an order without an answer is waited for, in milliseconds. */
 const ORDER_TIMEOUT_MILLISECONDS = 700;
+/** How long an append without an answer may take until its repetition is answered, in milliseconds. */
+const APPEND_TIMEOUT_MILLISECONDS = 1_500;
 /** How long a stop takes on an executor, in milliseconds. */
 const STOP_MILLISECONDS = 300;
 /** How long a host is away for a move, in milliseconds. */
@@ -50,6 +52,8 @@
   #faults: WorldFaults;
   readonly #provider: ProviderModel;
   readonly #random: () => number;
+  /** Decides on the journal's answers, apart from all else that is random. */
+  readonly #journalRandom: () => number;
   readonly #models = new Map<string, ExecutorModel>();
   readonly #entries = new Map<string, ExecutorEntry>();
   readonly #journal = new Map<string, Uint8Array>();
@@ -61,6 +65,7 @@
   #fence = 0;
   #ownedSince = 0;
   #storedAt = 0;
+  #toldStoredAt = 0;
   #lives = 0;
   /** Whether an order is being carried out long after it was sent. */
   #isDeliveringLate = false;
@@ -69,6 +74,7 @@
   private constructor(options: FleetWorldOptions) {
     this.#options = options;
     this.#random = createRandom(options.seed);
+    this.#journalRandom = createRandom(options.seed + 1);
     this.#faults = options.faults;
     this.#checks = FleetChecks.create({
       configuration: options.configuration,
@@ -137,6 +143,7 @@
 
   /** Cancels a job. */
   cancel(id: string): void {
+    this.#checks.addCancelAsked(id);
     this.#withOwner((owner) => owner.cancel(id, () => this.#checks.addCancel(id, this.#now)));
   }
 
@@ -186,6 +193,7 @@
     const stored = this.#getStored();
     this.#fence += 1;
     this.#ownedSince = this.#now;
+    this.#toldStoredAt = this.#now;
     const fence = this.#fence;
     const data = lies?.configuration?.(configuration) ?? configuration;
     this.#owner = FleetOwner.create({
@@ -199,7 +207,7 @@
       ports: this.#createPorts(fence),
       log: IGNORE_EVENT,
       startedAt: this.#now,
-      timeOfDay: this.#now,
+      timeOfDay: this.#getTimeOfDay(),
       configuration: Configuration.create(data),
       jobs: readStoredJobs(stored).jobs,
       stored,
@@ -214,6 +222,7 @@
       executors: this.#getToldEntries(),
       doubtMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS + 200,
     });
+    this.#checkShownJobs();
     this.#tellRequests();
   }
 
@@ -258,7 +267,7 @@
     const owner = this.#owner!;
     owner.setMoment({
       now: this.#now,
-      timeOfDay: this.#now,
+      timeOfDay: this.#getTimeOfDay(),
       renewal: this.#getClaim()?.renewal ?? 0,
       mayStart: true,
       mayExtend: true,
@@ -298,6 +307,8 @@
         let report: ReturnType<ExecutorModel["look"]>;
         this.#send(order.executor, (model) => {
           report = model.look(order, this.#now);
+          const { lies } = this.#options;
+          if (report !== undefined && lies?.report !== undefined) report = lies.report(report);
           return report === undefined ? OrderOutcome.Fenced : OrderOutcome.Done;
         }, (outcome) =>
           answer((owner) =>
@@ -338,7 +349,9 @@
         this.#schedule(this.#storedAt - this.#now, () => {
           if (!isCurrent()) return;
           for (const entry of entries) this.#store(entry);
-          this.#withOwner(() => onStored());
+          this.#answerAppend(() => {
+            if (isCurrent()) this.#withOwner(() => onStored());
+          });
         });
       },
     };
@@ -349,6 +362,17 @@
     else this.#journal.set(entry.key, entry.value);
   }
 
+  /** Tells that an append is stored: in order, and late where its first answer is lost. */
+  #answerAppend(answer: () => void): void {
+    const { lateAppendPart = 0 } = this.#faults;
+    const isLate = this.#journalRandom() < lateAppendPart;
+    if (isLate) this.#count("late-append");
+    const delay = isLate ? this.#journalRandom() * APPEND_TIMEOUT_MILLISECONDS : 0;
+    this.#toldStoredAt = Math.max(this.#toldStoredAt, this.#now + delay);
+    if (this.#toldStoredAt === this.#now) return answer();
+    this.#schedule(this.#toldStoredAt - this.#now, answer);
+  }
+
   /** Carries an order to the life of an executor that it is meant for; answers and orders get lost. */
   #send(
     entry: ExecutorEntry,
@@ -420,8 +444,16 @@
     return { milliseconds, end: isFailing ? RunEnd.Failed : RunEnd.Done };
   }
 
-  #check(): void {
+  #getTimeOfDay(): number {
+    return this.#now + (this.#options.getClockError?.(this.#fence) ?? 0);
+  }
+
+  #checkShownJobs(): void {
     this.#checks.checkShownJobs((id) => this.#owner?.getJobState(id));
+  }
+
+  #check(): void {
+    this.#checkShownJobs();
     this.#checks.checkRoom(this.#models, this.#entries);
   }
 
@@ -525,11 +557,12 @@
 
   /** Gets what a new owner finds in the journal. */
   #getStored(): [string, Uint8Array][] {
-    const { losesJournal, losesHostOrders } = this.#options.lies ?? {};
-    return [...this.#journal].filter(([key]) =>
+    const { losesJournal, losesHostOrders, stored } = this.#options.lies ?? {};
+    const found = [...this.#journal].filter(([key]) =>
       !(losesJournal === true && key.startsWith("progress/")) &&
       !(losesHostOrders === true && key.startsWith("host-order/"))
     );
+    return stored === undefined ? found : stored(found);
   }
 }
 
--- a/src/platform/stand_in/world_options.ts
+++ b/src/platform/stand_in/world_options.ts
@@ -4,6 +4,7 @@
 import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
 import type { Host } from "../../fleet/host.ts";
 import type { JobSpecification } from "../../fleet/job_specification.ts";
+import type { LookReport } from "../../owner/owner_ports.ts";
 import type { CapacityTerms } from "../../owner/pool_need.ts";
 import type { RunPlan } from "./executor_model.ts";
 
@@ -15,6 +16,8 @@
   latePart: number;
   /** The part of the runs that fail. */
   failingPart: number;
+  /** The part of the journal's appends that are stored and answered late; none unless given. */
+  lateAppendPart?: number;
 }
 
 /** What the owner is told falsely, so that a check can be seen to fail. */
@@ -31,6 +34,10 @@
   losesJournal?: boolean;
   /** Whether a new owner finds no records of orders for hosts. */
   losesHostOrders?: boolean;
+  /** Changes what a new owner finds in the journal. */
+  stored?: (entries: [string, Uint8Array][]) => [string, Uint8Array][];
+  /** Changes the reports of executors that the owner sees. */
+  report?: (report: LookReport) => LookReport;
 }
 
 /** Options of a `FleetWorld`. */
@@ -49,6 +56,8 @@
   capacityTerms?: CapacityTerms;
   /** Decides how a run goes. */
   planRun?: (task: string) => RunPlan;
+  /** Gets how far the time of day of an owner is ahead, by its fence, in milliseconds; 0 unless given. */
+  getClockError?: (fence: number) => number;
   /** What the owner is told falsely. */
   lies?: WorldLies;
 }
