Cancel a job that is being stored once it is stored, and call it unknown to nobody

Its state was answered 410, and its cancel was answered 410 (by OwnerTask) or acknowledged (by JobDesk) without effect; then the job was stored and ran. The span is a few milliseconds, and as long as the store is away or loses answers.

Change: a cancel of such a job waits for the store and then cancels, before any task starts. Its state is unavailable until then, since nobody can tell whether it will be accepted.

--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -134,6 +134,22 @@
   t.true(started > 20_000, `only ${started} starts`);
 });
 
+test("a job that is cancelled while it is being stored does not run", (t) => {
+  const world = FleetWorld.create({
+    seed: 1,
+    faults: NO_FAULTS,
+    configuration: CONFIGURATION,
+    executors: EXECUTORS,
+  });
+  world.run(200);
+  world.submit("job", "berths", "mine", TWO_STEPS);
+  world.cancel("job");
+  world.run(3_000);
+  t.is(world.getJobState("job"), "cancelled");
+  t.is(world.counts["started"] ?? 0, 0);
+  t.deepEqual(world.violations, []);
+});
+
 test("a calm day completes every job", (t) => {
   const world = play({ seed: 1, faults: NO_FAULTS, happenings: [] });
   const states = new Set([...Array(24).keys()].map((turn) => world.getJobState(`job${turn}`)));
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -120,9 +120,14 @@
     return countJobs([...this.#state.jobs.values()].filter((job) => job.queue === queue));
   }
 
-  /** Cancels a job, and tells when that is stored. */
+  /** Cancels a job, once it is stored where it is being stored, and tells when that is stored. */
   cancel(id: string, onCancelled: () => void): void {
     const state = this.#state;
+    const accepting = this.#accepting.get(id);
+    if (accepting !== undefined) {
+      accepting.push(() => this.cancel(id, onCancelled));
+      return;
+    }
     const job = state.jobs.get(id);
     if (job === undefined) return onCancelled();
     const waiting = this.#cancelling.get(id);
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -447,12 +447,13 @@
         this.#submit(call, allowed.queue, allowed.customer, reply);
         break;
       case CallKind.Cancel:
-        if (owner.getJobState(call.jobId) === undefined) return reply(this.#getUnknown());
+        if (!this.#isKnown(call.jobId)) return reply(this.#getUnknown());
         owner.cancel(call.jobId, () => reply({ outcome: AnswerOutcome.Cancelled }));
         break;
       case CallKind.State: {
         const state = owner.getJobState(call.jobId);
-        if (state === undefined) return reply(this.#getUnknown());
+        if (!this.#isKnown(call.jobId)) return reply(this.#getUnknown());
+        if (state === undefined) return reply(createUnavailable("the job is being stored"));
         const basis = this.#createBasis(owner.countJob(call.jobId));
         return reply({ outcome: AnswerOutcome.Shown, state, basis });
       }
@@ -483,7 +484,7 @@
       return reply({ outcome: AnswerOutcome.Malformed, reason: "the job is missing" });
     }
     const owner = this.#owner!;
-    const isKnown = owner.getJobState(jobId) !== undefined || owner.isAccepting(jobId);
+    const isKnown = this.#isKnown(jobId);
     const failingSince = this.#journal?.getFailingSince();
     const isStoreAway = failingSince !== undefined &&
       performance.now() - failingSince > JOURNAL_TROUBLE_MILLISECONDS;
@@ -495,6 +496,12 @@
     });
   }
 
+  /** Gets whether a job is accepted or being stored: it may run, whatever its caller knows. */
+  #isKnown(jobId: string): boolean {
+    const owner = this.#owner!;
+    return owner.getJobState(jobId) !== undefined || owner.isAccepting(jobId);
+  }
+
   #createBasis(counts: JobCounts): AnswerBasis {
     const claimAge = Math.round(this.#options.clock.getElapsed() - this.#confirmedAt);
     return { ...counts, ownerEpoch: this.#options.epoch, claimAge };
