Take over an occurrence that an owner with a clock ahead has begun

Cause: a new owner whose time of day is behind the earlier one's (clocks step by seconds) does not have an occurrence that the earlier one began. Its runs were stopped as strays, ends as done were acknowledged and dropped, and when its time came it began again as if nobody had: tasks ran twice, also ones that were done.

Change: a run or an end of a known job's occurrence that is neither here nor done adds the occurrence, with tasks that an earlier owner may have started. So does its time, for jobs of earlier owners: its tasks wait until the executors that the earlier owner used have answered.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -91,7 +91,6 @@
   readonly #doubtUntil: number;
   /** The executors that the earlier owner used and that have not answered this one. */
   readonly #unsettled = new Set<string>();
-  #hasUnknown = true;
   #askedAt = -Infinity;
   #forgotAt = 0;
   #decayedAt = 0;
@@ -338,8 +337,8 @@
 
   /** Lets tasks start that no earlier owner can still have running. */
   #settleUnknown(): void {
-    if (!this.#hasUnknown) return;
     const state = this.#state;
+    if (!state.hasUnknown) return;
     const isDoubtOver = state.now >= this.#doubtUntil;
     const doubtful = new Set<string>();
     const room = { ...NO_RESOURCES };
@@ -365,7 +364,7 @@
     // What may run unseen fits into the executors that have not answered.
     for (const resources of usage.values()) limitResources(resources, room);
     state.doubtfulUsage = usage;
-    if (this.#unsettled.size === 0 && state.configuration.version > 0) this.#hasUnknown = false;
+    if (this.#unsettled.size === 0 && state.configuration.version > 0) state.hasUnknown = false;
   }
 
   #storeProgress(): void {
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -134,6 +134,63 @@
   t.true(started > 20_000, `only ${started} starts`);
 });
 
+interface ToldScenario extends Scenario {
+  /** How far the clocks of the owners are ahead, by turns, in milliseconds. */
+  clockErrors: readonly number[];
+}
+
+/** Plays jobs with and without occurrences under owners whose clocks differ. */
+function playTold(scenario: ToldScenario): FleetWorld {
+  const { seed, faults, happenings, clockErrors } = scenario;
+  const world = FleetWorld.create({
+    seed,
+    faults,
+    configuration: CONFIGURATION,
+    executors: EXECUTORS,
+    getClockError: (fence) => clockErrors[fence % clockErrors.length] ?? 0,
+    ...(scenario.lies === undefined ? {} : { lies: scenario.lies }),
+  });
+  world.run(200);
+  for (let turn = 0; turn < 24; turn += 1) {
+    const isTimed = turn % 4 === 1;
+    const job = isTimed
+      ? { ...TWO_STEPS, repeats: 3, firstAt: world.getNow() + 300, intervalMilliseconds: 700 }
+      : TWO_STEPS;
+    world.submit(`job${turn}`, "berths", turn % 3 === 0 ? "quay" : "mine", job);
+    apply(world, happenings[turn], turn);
+    world.run(250);
+  }
+  world.endFaults();
+  world.run(24_000);
+  world.checkServed();
+  return world;
+}
+
+test("what callers are told holds across new owners, late appends and clocks that differ", (t) => {
+  const happening = fc.constantFrom("none", "none", "none", "owner", "crash", "cancel");
+  const scenarios = fc.record({
+    seed: fc.integer({ min: 1, max: 2 ** 30 }),
+    faults: fc.record({
+      lostPart: fc.constantFrom(0, 0.05, 0.2, 0.4),
+      latePart: fc.constantFrom(0, 0.5, 1),
+      failingPart: fc.constantFrom(0, 0.05, 0.2),
+      lateAppendPart: fc.constantFrom(0, 0.3, 0.8),
+    }),
+    happenings: fc.array(happening, { minLength: 24, maxLength: 24 }),
+    clockErrors: fc.array(fc.constantFrom(0, 0, 400, 2_400), { minLength: 2, maxLength: 2 }),
+  });
+  let lateAppends = 0;
+  fc.assert(
+    fc.property(scenarios, (scenario) => {
+      const world = playTold(scenario);
+      lateAppends += world.counts["late-append"] ?? 0;
+      if (world.violations.length > 0) throw new Error(world.violations.join("; "));
+    }),
+    { ...getRunOptions({ seed: 20261204, numRuns: 120 }), includeErrorInReport: true },
+  );
+  t.true(lateAppends > 1_000, `only ${lateAppends} late appends`);
+});
+
 test("a job that is cancelled while it is being stored does not run", (t) => {
   const world = FleetWorld.create({
     seed: 1,
@@ -150,6 +207,21 @@
   t.deepEqual(world.violations, []);
 });
 
+test("an occurrence that an owner with a clock ahead began is not begun again", (t) => {
+  const scenarios: Pick<ToldScenario, "seed" | "faults" | "happenings">[] = [
+    { seed: 1, faults: NO_FAULTS, happenings: ["owner", "none", "none", "none", "owner"] },
+    {
+      seed: 3,
+      faults: { ...NO_FAULTS, lostPart: 0.05 },
+      happenings: ["owner", "none", "crash", "cancel", "owner"],
+    },
+  ];
+  for (const scenario of scenarios) {
+    const world = playTold({ ...scenario, clockErrors: [400, 0] });
+    t.deepEqual(world.violations, []);
+  }
+});
+
 test("a calm day completes every job", (t) => {
   const world = play({ seed: 1, faults: NO_FAULTS, happenings: [] });
   const states = new Set([...Array(24).keys()].map((turn) => world.getJobState(`job${turn}`)));
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -4,6 +4,7 @@
 import { Configuration, type Queue } from "../fleet/configuration.ts";
 import { type AssignedRun, Executor } from "../fleet/executor.ts";
 import { type Job, type JobStep, type JobTask, TaskState } from "../fleet/job.ts";
+import { parseTaskName } from "../fleet/job_specification.ts";
 import { addResources, type Resources } from "../fleet/resources.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
 import { DurationBook } from "./duration_book.ts";
@@ -92,6 +93,8 @@
   readonly arrivals = ArrivalMeter.create();
   /** What each customer may have running on executors that have not answered this owner yet. */
   doubtfulUsage: ReadonlyMap<string, Resources> = new Map();
+  /** Whether there may be tasks that an earlier owner started where this one has not looked yet. */
+  hasUnknown = true;
   /** Whether something has changed that lets tasks start. */
   needsDispatch = true;
   #lastRun = 0;
@@ -189,8 +192,23 @@
     this.needsDispatch = true;
   }
 
+  /** Gets the task of a name that an executor lists, if its job is known and its occurrence not done. */
+  findListedTask(name: string): JobTask | undefined {
+    const parts = parseTaskName(name);
+    const job = parts && this.jobs.get(parts.jobId);
+    if (parts === undefined || job === undefined) return undefined;
+    const { occurrence, step, index } = parts;
+    const isPossible = job.outcome === undefined && occurrence < job.getOccurrenceCount();
+    if (isPossible && !job.occurrences.has(occurrence) && !job.doneOccurrences.has(occurrence)) {
+      // An earlier owner, whose clock was ahead of this one's, began it.
+      this.addOccurrence(job, occurrence, TaskState.Unknown);
+    }
+    return job.getTask(occurrence, step, index);
+  }
+
   /** Adds an occurrence of a job whose time has come. */
   addOccurrence(job: Job, occurrence: number, state: TaskState): void {
+    if (state === TaskState.Unknown) this.hasUnknown = true;
     for (const step of job.addOccurrence(occurrence, state)) this.addIfReady(step);
   }
 
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -30,6 +30,13 @@
   confirmed: number;
 }
 
+/** The next occurrence of a job that is to come. */
+interface NextOccurrence {
+  occurrence: number;
+  /** Unknown where an owner with a clock ahead of this one's may have begun it. */
+  state: TaskState;
+}
+
 /** The decisions about whole jobs. */
 export class JobDesk {
   readonly #state: FleetState;
@@ -38,8 +45,8 @@
   readonly #accepting = new Map<string, (() => void)[]>();
   readonly #shares = ShareMeter.create();
   readonly #cancelling = new Map<string, (() => void)[]>();
-  /** Jobs with occurrences that are not due yet, with the next one. */
-  readonly #timed = new Map<Job, number>();
+  /** Jobs with occurrences that are not due yet. */
+  readonly #timed = new Map<Job, NextOccurrence>();
 
   private constructor(state: FleetState, runs: RunControl) {
     this.#state = state;
@@ -151,7 +158,7 @@
   tick(): void {
     for (const [job, next] of this.#timed) {
       if (job.outcome !== undefined) this.#timed.delete(job);
-      else this.#addDue(job, next, TaskState.Waiting);
+      else this.#addDue(job, next);
     }
   }
 
@@ -193,18 +200,19 @@
       }
       return;
     }
-    this.#addDue(job, 0, state);
+    this.#addDue(job, { occurrence: 0, state });
   }
 
-  #addDue(job: Job, first: number, state: TaskState): void {
-    let next = first;
+  #addDue(job: Job, first: NextOccurrence): void {
+    const { state } = first;
+    let next = first.occurrence;
     while (next < job.getOccurrenceCount() && job.getDueAt(next) <= this.#state.timeOfDay) {
       if (!job.occurrences.has(next) && !job.doneOccurrences.has(next)) {
         this.#state.addOccurrence(job, next, state);
       }
       next += 1;
     }
-    if (next < job.getOccurrenceCount()) this.#timed.set(job, next);
+    if (next < job.getOccurrenceCount()) this.#timed.set(job, { occurrence: next, state });
     else this.#timed.delete(job);
   }
 }
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -8,7 +8,7 @@
 import type { FleetState } from "./fleet_state.ts";
 import { type LookAnswer, type LookReport, OrderOutcome, type RunningRow } from "./owner_ports.ts";
 import { createExecutorEntry, createExecutorGoneEntry } from "./executor_records.ts";
-import { findTask, type RunControl } from "./run_control.ts";
+import type { RunControl } from "./run_control.ts";
 
 /** How long a report may wait for an end, in milliseconds: a third of the lease. */
 const LOOK_WAIT_MILLISECONDS = 1_000;
@@ -208,7 +208,7 @@
     if (job.outcome !== undefined && !job.occurrences.has(parts.occurrence)) {
       job.addOccurrence(parts.occurrence, TaskState.Waiting);
     }
-    return findTask(this.#state, name);
+    return this.#state.findListedTask(name);
   }
 
   /** Settles a run that the executor does not list: it never came, is late, or was lost. */
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -170,7 +170,7 @@
   /** Acts on an end that an executor lists. */
   handleEnd(executor: Executor, row: EndedRow): void {
     const state = this.#state;
-    const task = findTask(state, row.task);
+    const task = state.findListedTask(row.task);
     if (task === undefined) return;
     const assigned = executor.runs.get(row.task);
     const isCurrent = assigned !== undefined && assigned.run.number === row.run;
@@ -305,10 +305,3 @@
     }
   }
 }
-
-/** Gets the task of a name, if its job is known and its occurrence is not done. */
-export function findTask(state: FleetState, name: string): JobTask | undefined {
-  const [jobId, occurrence, step, index] = name.split(".");
-  if (index === undefined) return undefined;
-  return state.jobs.get(jobId!)?.getTask(Number(occurrence), Number(step), Number(index));
-}
