Remember jobs that are over by the steady clock

Cause: an ended job was forgotten when the owner's time of day was status_s past the time that was stored when it ended. A clock that steps ahead, or a new owner whose clock is ahead, forgot it early by that much, and an accepted job was answered 410.

Change: an owner counts from when it knows of the end, on its steady clock; after a take-over it remembers a job that long again.

Evidence: "a job that is over is remembered by an owner whose clock is ahead" failed before (410 for a completed job under a clock an hour ahead).

--- a/src/fleet/job.ts
+++ b/src/fleet/job.ts
@@ -115,6 +115,8 @@
   isOutcomeStored = false;
   /** When the outcome was reached, in milliseconds since 1970. */
   endedAt = 0;
+  /** Since when this owner knows the outcome, on the steady clock. */
+  overSince = 0;
   /** Whether a task has started. */
   hasStarted = false;
   /** Whether its customer handed it in beyond its share. */
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -222,6 +222,17 @@
   }
 });
 
+test("a job that is over is remembered by an owner whose clock is ahead", (t) => {
+  const world = playTold({
+    seed: 1,
+    faults: NO_FAULTS,
+    happenings: [...Array<string>(23).fill("none"), "owner"],
+    clockErrors: [3_600_000, 0],
+  });
+  t.is(world.getJobState("job0"), "completed");
+  t.deepEqual(world.violations, []);
+});
+
 test("a calm day completes every job", (t) => {
   const world = play({ seed: 1, faults: NO_FAULTS, happenings: [] });
   const states = new Set([...Array(24).keys()].map((turn) => world.getJobState(`job${turn}`)));
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -90,6 +90,7 @@
   /** Adds a job that an earlier owner stored. */
   restore(job: Job): void {
     this.#state.jobs.set(job.id, job);
+    job.overSince = this.#state.now;
     if (job.outcome !== undefined) return;
     for (const steps of job.occurrences.values()) {
       for (const step of steps) this.#state.addIfReady(step);
@@ -165,9 +166,10 @@
   /** Forgets the jobs that ended long ago. */
   forget(): void {
     const state = this.#state;
-    const oldest = state.timeOfDay - state.limits.rememberMilliseconds;
+    // The time of day may step, and differs between owners.
+    const oldest = state.now - state.limits.rememberMilliseconds;
     for (const job of state.jobs.values()) {
-      const isOld = job.outcome !== undefined && job.isOutcomeStored && job.endedAt < oldest;
+      const isOld = job.outcome !== undefined && job.isOutcomeStored && job.overSince < oldest;
       if (!isOld || [...job.getTasks()].some((task) => task.run !== undefined)) continue;
       state.jobs.delete(job.id);
       state.ports.write(createForgottenEntries(job), () => {});
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -218,6 +218,7 @@
     if (job.outcome !== undefined) return;
     job.outcome = outcome;
     job.endedAt = state.timeOfDay;
+    job.overSince = state.now;
     state.changedJobs.add(job);
     state.log("job-end", {
       request: job.id,
