Call a job unknown only while no other host can have taken over

Cause: an owner said 410 up to 2 s after the last confirmation of its claim, as long as it may start tasks. Starts are guarded by fences; what callers are told is not, and others claim the fleet after 1 s without a renewal. From then on the next owner may have accepted the job.

Change: 410 only within TAKE_OVER_MILLISECONDS of the confirmation, later 503.

Evidence: "an owner whose claim another host may have taken over..." failed before: 410 at an age of 1,100 ms.

--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -16,7 +16,7 @@
 } from "../front/call.ts";
 import type { ForwardedCall } from "../front/call_frame.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
-import { AUTHORITY_MILLISECONDS } from "../ownership/ownership_task.ts";
+import { AUTHORITY_MILLISECONDS, TAKE_OVER_MILLISECONDS } from "../ownership/ownership_task.ts";
 import type { Claim, JournalStore } from "../ownership/ownership_ports.ts";
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
 import type { Advice } from "./advice_control.ts";
@@ -510,7 +510,8 @@
   /** Gets what is said of a job that is not known: only an owner that is sure says so. */
   #getUnknown(): Answer {
     const age = this.#options.clock.getElapsed() - this.#confirmedAt;
-    if (age < AUTHORITY_MILLISECONDS) return { outcome: AnswerOutcome.UnknownJob };
+    // From then on another owner may have accepted the job: no fence guards what callers are told.
+    if (age < TAKE_OVER_MILLISECONDS) return { outcome: AnswerOutcome.UnknownJob };
     return createUnavailable("the owner is not sure that it still is");
   }
 
--- a/src/owner/owner_task_test.ts
+++ b/src/owner/owner_task_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { Configuration } from "../fleet/configuration.ts";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import { type Answer, CallKind } from "../front/call.ts";
 import type { JournalAppendResult } from "../ownership/ownership_ports.ts";
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
@@ -45,8 +46,8 @@
   stop: () => void;
 }
 
-/** Starts an owner that has just confirmed its claim, on a journal whose appends the test answers. */
-async function startOwner(): Promise<Owner> {
+/** Starts an owner that has just confirmed its claim; executors have seen a higher fence than its own. */
+async function startOwner(entries: readonly ExecutorEntry[] = []): Promise<Owner> {
   let age = 0;
   const appends: ((result: JournalAppendResult) => void)[] = [];
   const told: string[] = [];
@@ -66,7 +67,7 @@
       start: order,
       stop: order,
       pace: order,
-      look: () => Promise.resolve({ outcome: OrderOutcome.Unanswered }),
+      look: () => Promise.resolve({ outcome: OrderOutcome.Fenced }),
     },
     askAdvice: () => Promise.resolve(undefined),
     writeStatus: () => {},
@@ -85,7 +86,7 @@
     configuration: CONFIGURATION,
     requests: { evacuatedZones: new Set(), waves: new Map() },
   });
-  task.post({ kind: "executors", entries: [] });
+  task.post({ kind: "executors", entries });
   await settle();
   return {
     told,
@@ -134,3 +135,15 @@
   owner.stop();
   t.snapshot(owner.told);
 });
+
+test("an owner whose claim another host may have taken over does not call a job unknown", async (t) => {
+  const owner = await startOwner();
+  for (const age of [900, 200, 1_000]) {
+    owner.age(age);
+    owner.call(CallKind.State, "a1");
+    owner.call(CallKind.Cancel, "a1");
+    await settle();
+  }
+  owner.stop();
+  t.snapshot(owner.told);
+});
