Pass calls on once a later owner is known by its fence

Callers were told that a job runs after the next owner had shown it as over. Its submissions were never answered.

Change: it answers that it is not the owner, so that the host passes the call to the one whose claim it knows. Leases and starts stay as they were: executors judge them by their fences.

Evidence: two tests of owner_task_test failed before: a state was shown, a count told, 410 said and a submission acknowledged after the fence.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -204,6 +204,11 @@
     return this.#desk.getState(id);
   }
 
+  /** Gets whether an executor has seen the fence of a later owner. */
+  isDeposed(): boolean {
+    return this.#state.isDeposed;
+  }
+
   /** Gets whether a job is being stored. */
   isAccepting(id: string): boolean {
     return this.#desk.isAccepting(id);
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -95,6 +95,8 @@
   | { kind: "advised"; step: string; asked: readonly string[]; advice: Advice | undefined }
   | { kind: "settle" }
   | { kind: "tick" }
+  /** The journal has seen a higher epoch. */
+  | { kind: "fenced" }
   /** The process is stopping: nothing more is started, and the reply comes when all is stored. */
   | { kind: "finish"; reply: Reply<void> };
 
@@ -148,6 +150,8 @@
   #confirmedAt: number;
   #renewal = 0;
   #isFinishing = false;
+  /** Whether a later owner writes the journal: what is known here may be outdated. */
+  #isFenced = false;
   #isSettling = false;
   #early: { call: ForwardedCall; reply: Reply<Answer> }[] = [];
 
@@ -230,6 +234,8 @@
         this.#setMoment();
         this.#owner?.tick();
         break;
+      case "fenced":
+        return this.#handleFenced();
       case "finish":
         return this.#finish(message.reply);
     }
@@ -253,7 +259,7 @@
 
   /** Ends the epochs before this one at the journal. */
   async #setFence(sequence: number): Promise<void> {
-    const { journalStore, epoch, log, onFenced } = this.#options;
+    const { journalStore, epoch, log } = this.#options;
     while (!this.isStopped()) {
       const result = await journalStore.append([], epoch, sequence);
       if (result.outcome === "done") {
@@ -262,7 +268,8 @@
       }
       if (result.outcome === "fenced") {
         log("take-over-fenced", { step: "set-fence", epoch });
-        return onFenced();
+        this.post({ kind: "fenced" });
+        return;
       }
       log("take-over-delayed", { step: "set-fence", epoch, outcome: result.outcome });
       await pause(TAKE_OVER_RETRY_MILLISECONDS);
@@ -270,12 +277,12 @@
   }
 
   #openJournal(firstSequence: number): void {
-    const { journalStore, epoch, log, onFenced, onMeasured } = this.#options;
+    const { journalStore, epoch, log, onMeasured } = this.#options;
     this.#journal = JournalTask.create({
       store: journalStore,
       epoch,
       firstSequence,
-      onFenced,
+      onFenced: () => this.post({ kind: "fenced" }),
       onAppended: (milliseconds) => onMeasured("append", milliseconds),
       log,
     });
@@ -433,7 +440,8 @@
   }
 
   #handleCall(call: ForwardedCall, reply: Reply<Answer>): void {
-    if (this.#isFinishing) return reply({ outcome: AnswerOutcome.NotOwner });
+    const isReplaced = this.#isFenced || this.#owner?.isDeposed() === true;
+    if (this.#isFinishing || isReplaced) return reply({ outcome: AnswerOutcome.NotOwner });
     if (this.#owner === undefined || this.#configuration === undefined) {
       this.#early.push({ call, reply });
       return;
@@ -515,13 +523,23 @@
     return createUnavailable("the owner is not sure that it still is");
   }
 
+  #handleFenced(): void {
+    this.#isFenced = true;
+    this.#passEarlyOn();
+    this.#options.onFenced();
+  }
+
+  #passEarlyOn(): void {
+    for (const early of this.#early) early.reply({ outcome: AnswerOutcome.NotOwner });
+    this.#early = [];
+  }
+
   #finish(reply: Reply<void>): void {
     this.#isFinishing = true;
     this.#setMoment();
     const { epoch, log } = this.#options;
     log("hand-over-begun", { epoch });
-    for (const early of this.#early) early.reply({ outcome: AnswerOutcome.NotOwner });
-    this.#early = [];
+    this.#passEarlyOn();
     if (this.#journal === undefined) return reply();
     // Entries are stored in order, so this is stored after all that came before it.
     this.#journal.post({ kind: "write", entries: [], onStored: reply });
--- a/src/owner/owner_task_test.ts
+++ b/src/owner/owner_task_test.ts
@@ -46,6 +46,17 @@
   stop: () => void;
 }
 
+const EXECUTOR: ExecutorEntry = {
+  id: "i-1",
+  born: 1_000,
+  service: "berthbook",
+  address: "10.0.0.1:80",
+  zone: "zl-a",
+  labels: [],
+  capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
+  isDraining: false,
+};
+
 /** Starts an owner that has just confirmed its claim; executors have seen a higher fence than its own. */
 async function startOwner(entries: readonly ExecutorEntry[] = []): Promise<Owner> {
   let age = 0;
@@ -147,3 +158,25 @@
   owner.stop();
   t.snapshot(owner.told);
 });
+
+test("an owner that the journal has fenced passes calls on", async (t) => {
+  const owner = await startOwner();
+  owner.call(CallKind.Submit, "a1");
+  await owner.answerAppend({ outcome: "done" });
+  owner.call(CallKind.Submit, "a2");
+  await owner.answerAppend({ outcome: "fenced" });
+  for (const kind of [CallKind.State, CallKind.Cancel, CallKind.Submit]) owner.call(kind, "a1");
+  owner.call(CallKind.Waiting);
+  await settle();
+  owner.stop();
+  t.snapshot(owner.told);
+});
+
+test("an owner whose executors have seen a higher fence passes calls on", async (t) => {
+  const owner = await startOwner([EXECUTOR]);
+  owner.call(CallKind.State, "a1");
+  owner.call(CallKind.Waiting);
+  await settle();
+  owner.stop();
+  t.snapshot(owner.told);
+});
