--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -1,8 +1,11 @@
 import test from "ava";
+import { decode as decodeCbor, encode as encodeCbor } from "cbor-x";
 import fc from "fast-check";
 import type { ConfigurationData } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import { JobState } from "../fleet/job.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
+import { RunEnd } from "../fleet/run.ts";
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
 import { getRunOptions } from "../tests/run_options.ts";
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
@@ -132,6 +135,105 @@
   t.true(started > 20_000, `only ${started} starts`);
 });
 
+interface ToldScenario extends Scenario {
+  /** How far the clocks of the owners are ahead, by turns, in milliseconds. */
+  clockErrors: readonly number[];
+}
+
+/** Plays jobs with and without occurrences under owners whose clocks differ. */
+function playTold(scenario: ToldScenario): FleetWorld {
+  const { seed, faults, happenings, clockErrors } = scenario;
+  const world = FleetWorld.create({
+    seed,
+    faults,
+    configuration: CONFIGURATION,
+    executors: EXECUTORS,
+    getClockError: (fence) => clockErrors[fence % clockErrors.length] ?? 0,
+    ...(scenario.lies === undefined ? {} : { lies: scenario.lies }),
+  });
+  world.run(200);
+  for (let turn = 0; turn < 24; turn += 1) {
+    const isTimed = turn % 4 === 1;
+    const job = isTimed
+      ? { ...TWO_STEPS, repeats: 3, firstAt: world.getNow() + 300, intervalMilliseconds: 700 }
+      : TWO_STEPS;
+    world.submit(`job${turn}`, "berths", turn % 3 === 0 ? "quay" : "mine", job);
+    apply(world, happenings[turn], turn);
+    world.run(250);
+  }
+  world.endFaults();
+  world.run(24_000);
+  world.checkServed();
+  return world;
+}
+
+test("what callers are told holds across new owners, late appends and clocks that differ", (t) => {
+  const happening = fc.constantFrom("none", "none", "none", "owner", "crash", "cancel");
+  const scenarios = fc.record({
+    seed: fc.integer({ min: 1, max: 2 ** 30 }),
+    faults: fc.record({
+      lostPart: fc.constantFrom(0, 0.05, 0.2, 0.4),
+      latePart: fc.constantFrom(0, 0.5, 1),
+      failingPart: fc.constantFrom(0, 0.05, 0.2),
+      lateAppendPart: fc.constantFrom(0, 0.3, 0.8),
+    }),
+    happenings: fc.array(happening, { minLength: 24, maxLength: 24 }),
+    clockErrors: fc.array(fc.constantFrom(0, 0, 400, 2_400), { minLength: 2, maxLength: 2 }),
+  });
+  let lateAppends = 0;
+  fc.assert(
+    fc.property(scenarios, (scenario) => {
+      const world = playTold(scenario);
+      lateAppends += world.counts["late-append"] ?? 0;
+      if (world.violations.length > 0) throw new Error(world.violations.join("; "));
+    }),
+    { ...getRunOptions({ seed: 20261204, numRuns: 120 }), includeErrorInReport: true },
+  );
+  t.true(lateAppends > 1_000, `only ${lateAppends} late appends`);
+});
+
+test("a job that is cancelled while it is being stored does not run", (t) => {
+  const world = FleetWorld.create({
+    seed: 1,
+    faults: NO_FAULTS,
+    configuration: CONFIGURATION,
+    executors: EXECUTORS,
+  });
+  world.run(200);
+  world.submit("job", "berths", "mine", TWO_STEPS);
+  world.cancel("job");
+  world.run(3_000);
+  t.is(world.getJobState("job"), "cancelled");
+  t.is(world.counts["started"] ?? 0, 0);
+  t.deepEqual(world.violations, []);
+});
+
+test("an occurrence that an owner with a clock ahead began is not begun again", (t) => {
+  const scenarios: Pick<ToldScenario, "seed" | "faults" | "happenings">[] = [
+    { seed: 1, faults: NO_FAULTS, happenings: ["owner", "none", "none", "none", "owner"] },
+    {
+      seed: 3,
+      faults: { ...NO_FAULTS, lostPart: 0.05 },
+      happenings: ["owner", "none", "crash", "cancel", "owner"],
+    },
+  ];
+  for (const scenario of scenarios) {
+    const world = playTold({ ...scenario, clockErrors: [400, 0] });
+    t.deepEqual(world.violations, []);
+  }
+});
+
+test("a job that is over is remembered by an owner whose clock is ahead", (t) => {
+  const world = playTold({
+    seed: 1,
+    faults: NO_FAULTS,
+    happenings: [...Array<string>(23).fill("none"), "owner"],
+    clockErrors: [3_600_000, 0],
+  });
+  t.is(world.getJobState("job0"), "completed");
+  t.deepEqual(world.violations, []);
+});
+
 test("a calm day completes every job", (t) => {
   const world = play({ seed: 1, faults: NO_FAULTS, happenings: [] });
   const states = new Set([...Array(24).keys()].map((turn) => world.getJobState(`job${turn}`)));
@@ -209,7 +311,12 @@
       { ...NO_FAULTS, failingPart: 0.5 },
     ],
     ["EVAC", { hidesEvacuation: true }, ["evacuate"], NO_FAULTS],
-    ["MIXED", { losesJobs: true }, ["none", "none", "owner"], { ...NO_FAULTS, refusedPart: 1 }],
+    [
+      "MIXED",
+      { stored: (entries) => entries.filter(([key]) => !key.startsWith("job/")) },
+      ["none", "none", "owner"],
+      { ...NO_FAULTS, refusedPart: 1 },
+    ],
     ["TWICE", { losesJournal: true }, ["none", "none", "owner"], NO_FAULTS],
   ];
   const seen = cases.map(([rule, lies, happenings, faults]) => {
@@ -218,3 +325,62 @@
   });
   t.deepEqual(seen, cases.map(([rule]) => [rule, true]));
 });
+
+test("each check of what callers are told fails on an owner that is told falsely", (t) => {
+  const without = (prefix: string) => (entries: [string, Uint8Array][]) =>
+    entries.filter(([key]) => !key.startsWith(prefix));
+  const cases: [line: RegExp, lies: WorldLies, happenings: string[]][] = [
+    [/^LOST: job\d+ is accepted and not known/, { stored: without("job/job") }, ["none", "owner"]],
+    [
+      /^MIXED: job\d+ was shown as completed and is queued/,
+      { stored: without("progress/") },
+      ["none", "none", "none", "none", "owner"],
+    ],
+    [
+      /^MIXED: job\d+ is completed without/,
+      {
+        report: (report) => ({
+          ...report,
+          ended: report.running.map(({ task, run }, index) => ({
+            number: report.executorTime + index,
+            task,
+            run,
+            end: RunEnd.Done,
+            checkpoint: "",
+          })),
+        }),
+      },
+      [],
+    ],
+    [
+      /^MIXED: nobody was never submitted/,
+      {
+        stored: (entries) => {
+          const found = entries.find(([key]) => key.startsWith("job/"));
+          const over = { outcome: JobState.Cancelled, endedAt: 0, doneOccurrences: [], tasks: [] };
+          return found === undefined
+            ? entries
+            : [...entries, ["job/nobody", found[1]], ["progress/nobody", encodeCbor(over)]];
+        },
+      },
+      ["none", "owner"],
+    ],
+    ...[JobState.Cancelled, JobState.Failed].map((outcome): [RegExp, WorldLies, string[]] => [
+      new RegExp(`^LOST: job\\d+ is shown as ${outcome}`),
+      {
+        stored: (entries) =>
+          entries.map(([key, value]) =>
+            key.startsWith("progress/")
+              ? [key, encodeCbor({ ...decodeCbor(value), outcome })]
+              : [key, value]
+          ),
+      },
+      ["none", "owner"],
+    ]),
+  ];
+  const seen = cases.map(([line, lies, happenings]) => {
+    const world = play({ seed: 7, faults: NO_FAULTS, happenings, lies });
+    return [line.source, world.violations.some((violation) => line.test(violation))];
+  });
+  t.deepEqual(seen, cases.map(([line]) => [line.source, true]));
+});
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -30,6 +30,13 @@
   confirmed: number;
 }
 
+/** The next occurrence of a job that is to come. */
+interface NextOccurrence {
+  occurrence: number;
+  /** Unknown where an owner with a clock ahead of this one's may have begun it. */
+  state: TaskState;
+}
+
 /** The decisions about whole jobs. */
 export class JobDesk {
   readonly #state: FleetState;
@@ -38,8 +45,8 @@
   readonly #accepting = new Map<string, (() => void)[]>();
   readonly #shares = ShareMeter.create();
   readonly #cancelling = new Map<string, (() => void)[]>();
-  /** Jobs with occurrences that are not due yet, with the next one. */
-  readonly #timed = new Map<Job, number>();
+  /** Jobs with occurrences that are not due yet. */
+  readonly #timed = new Map<Job, NextOccurrence>();
 
   private constructor(state: FleetState, runs: RunControl) {
     this.#state = state;
@@ -83,6 +90,7 @@
   /** Adds a job that an earlier owner stored. */
   restore(job: Job): void {
     this.#state.jobs.set(job.id, job);
+    job.overSince = this.#state.now;
     if (job.outcome !== undefined) return;
     for (const steps of job.occurrences.values()) {
       for (const step of steps) this.#state.addIfReady(step);
@@ -120,9 +128,14 @@
     return countJobs([...this.#state.jobs.values()].filter((job) => job.queue === queue));
   }
 
-  /** Cancels a job, and tells when that is stored. */
+  /** Cancels a job, once it is stored where it is being stored, and tells when that is stored. */
   cancel(id: string, onCancelled: () => void): void {
     const state = this.#state;
+    const accepting = this.#accepting.get(id);
+    if (accepting !== undefined) {
+      accepting.push(() => this.cancel(id, onCancelled));
+      return;
+    }
     const job = state.jobs.get(id);
     if (job === undefined) return onCancelled();
     const waiting = this.#cancelling.get(id);
@@ -146,16 +159,17 @@
   tick(): void {
     for (const [job, next] of this.#timed) {
       if (job.outcome !== undefined) this.#timed.delete(job);
-      else this.#addDue(job, next, TaskState.Waiting);
+      else this.#addDue(job, next);
     }
   }
 
   /** Forgets the jobs that ended long ago. */
   forget(): void {
     const state = this.#state;
-    const oldest = state.timeOfDay - state.limits.rememberMilliseconds;
+    // The time of day may step, and differs between owners.
+    const oldest = state.now - state.limits.rememberMilliseconds;
     for (const job of state.jobs.values()) {
-      const isOld = job.outcome !== undefined && job.isOutcomeStored && job.endedAt < oldest;
+      const isOld = job.outcome !== undefined && job.isOutcomeStored && job.overSince < oldest;
       if (!isOld || [...job.getTasks()].some((task) => task.run !== undefined)) continue;
       state.jobs.delete(job.id);
       state.ports.write(createForgottenEntries(job), () => {});
@@ -188,18 +202,19 @@
       }
       return;
     }
-    this.#addDue(job, 0, state);
+    this.#addDue(job, { occurrence: 0, state });
   }
 
-  #addDue(job: Job, first: number, state: TaskState): void {
-    let next = first;
+  #addDue(job: Job, first: NextOccurrence): void {
+    const { state } = first;
+    let next = first.occurrence;
     while (next < job.getOccurrenceCount() && job.getDueAt(next) <= this.#state.timeOfDay) {
       if (!job.occurrences.has(next) && !job.doneOccurrences.has(next)) {
         this.#state.addOccurrence(job, next, state);
       }
       next += 1;
     }
-    if (next < job.getOccurrenceCount()) this.#timed.set(job, next);
+    if (next < job.getOccurrenceCount()) this.#timed.set(job, { occurrence: next, state });
     else this.#timed.delete(job);
   }
 }
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -16,7 +16,7 @@
 } from "../front/call.ts";
 import type { ForwardedCall } from "../front/call_frame.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
-import { AUTHORITY_MILLISECONDS } from "../ownership/ownership_task.ts";
+import { AUTHORITY_MILLISECONDS, TAKE_OVER_MILLISECONDS } from "../ownership/ownership_task.ts";
 import type { Claim, JournalStore } from "../ownership/ownership_ports.ts";
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
 import type { Advice } from "./advice_control.ts";
@@ -96,6 +96,8 @@
   | { kind: "advised"; step: string; asked: readonly string[]; advice: Advice | undefined }
   | { kind: "settle" }
   | { kind: "tick" }
+  /** The journal has seen a higher epoch. */
+  | { kind: "fenced" }
   /** The process is stopping: nothing more is started, and the reply comes when all is stored. */
   | { kind: "finish"; reply: Reply<void> };
 
@@ -149,6 +151,8 @@
   #confirmedAt: number;
   #renewal = 0;
   #isFinishing = false;
+  /** Whether a later owner writes the journal: what is known here may be outdated. */
+  #isFenced = false;
   #isSettling = false;
   #early: { call: ForwardedCall; reply: Reply<Answer> }[] = [];
 
@@ -235,6 +239,8 @@
         this.#setMoment();
         this.#owner?.tick();
         break;
+      case "fenced":
+        return this.#handleFenced();
       case "finish":
         return this.#finish(message.reply);
     }
@@ -258,7 +264,7 @@
 
   /** Ends the epochs before this one at the journal. */
   async #setFence(sequence: number): Promise<void> {
-    const { journalStore, epoch, log, onFenced } = this.#options;
+    const { journalStore, epoch, log } = this.#options;
     while (!this.isStopped()) {
       const result = await journalStore.append([], epoch, sequence);
       if (result.outcome === "done") {
@@ -267,7 +273,8 @@
       }
       if (result.outcome === "fenced") {
         log("take-over-fenced", { step: "set-fence", epoch });
-        return onFenced();
+        this.post({ kind: "fenced" });
+        return;
       }
       log("take-over-delayed", { step: "set-fence", epoch, outcome: result.outcome });
       await pause(TAKE_OVER_RETRY_MILLISECONDS);
@@ -275,12 +282,12 @@
   }
 
   #openJournal(firstSequence: number): void {
-    const { journalStore, epoch, log, onFenced, onMeasured } = this.#options;
+    const { journalStore, epoch, log, onMeasured } = this.#options;
     this.#journal = JournalTask.create({
       store: journalStore,
       epoch,
       firstSequence,
-      onFenced,
+      onFenced: () => this.post({ kind: "fenced" }),
       onAppended: (milliseconds) => onMeasured("append", milliseconds),
       log,
     });
@@ -445,7 +452,8 @@
   }
 
   #handleCall(call: ForwardedCall, reply: Reply<Answer>): void {
-    if (this.#isFinishing) return reply({ outcome: AnswerOutcome.NotOwner });
+    const isReplaced = this.#isFenced || this.#owner?.isDeposed() === true;
+    if (this.#isFinishing || isReplaced) return reply({ outcome: AnswerOutcome.NotOwner });
     if (this.#owner === undefined || this.#configuration === undefined) {
       this.#early.push({ call, reply });
       return;
@@ -459,12 +467,13 @@
         this.#submit(call, allowed.queue, allowed.customer, reply);
         break;
       case CallKind.Cancel:
-        if (owner.getJobState(call.jobId) === undefined) return reply(this.#getUnknown());
+        if (!this.#isKnown(call.jobId)) return reply(this.#getUnknown());
         owner.cancel(call.jobId, () => reply({ outcome: AnswerOutcome.Cancelled }));
         break;
       case CallKind.State: {
         const state = owner.getJobState(call.jobId);
-        if (state === undefined) return reply(this.#getUnknown());
+        if (!this.#isKnown(call.jobId)) return reply(this.#getUnknown());
+        if (state === undefined) return reply(createUnavailable("the job is being stored"));
         const basis = this.#createBasis(allowed.queue, owner.countJob(call.jobId));
         return reply({ outcome: AnswerOutcome.Shown, state, basis });
       }
@@ -495,7 +504,7 @@
       return reply({ outcome: AnswerOutcome.Malformed, reason: "the job is missing" });
     }
     const owner = this.#owner!;
-    const isKnown = owner.getJobState(jobId) !== undefined || owner.isAccepting(jobId);
+    const isKnown = this.#isKnown(jobId);
     const failingSince = this.#journal?.getFailingSince();
     const isStoreAway = failingSince !== undefined &&
       performance.now() - failingSince > JOURNAL_TROUBLE_MILLISECONDS;
@@ -507,6 +516,12 @@
     });
   }
 
+  /** Gets whether a job is accepted or being stored: it may run, whatever its caller knows. */
+  #isKnown(jobId: string): boolean {
+    const owner = this.#owner!;
+    return owner.getJobState(jobId) !== undefined || owner.isAccepting(jobId);
+  }
+
   #createBasis(queue: string, counts: JobCounts): AnswerBasis {
     const claimAge = Math.round(this.#options.clock.getElapsed() - this.#confirmedAt);
     return { queue, ...counts, ownerEpoch: this.#options.epoch, claimAge };
@@ -515,17 +530,28 @@
   /** Gets what is said of a job that is not known: only an owner that is sure says so. */
   #getUnknown(): Answer {
     const age = this.#options.clock.getElapsed() - this.#confirmedAt;
-    if (age < AUTHORITY_MILLISECONDS) return { outcome: AnswerOutcome.UnknownJob };
+    // From then on another owner may have accepted the job: no fence guards what callers are told.
+    if (age < TAKE_OVER_MILLISECONDS) return { outcome: AnswerOutcome.UnknownJob };
     return createUnavailable("the owner is not sure that it still is");
   }
 
+  #handleFenced(): void {
+    this.#isFenced = true;
+    this.#passEarlyOn();
+    this.#options.onFenced();
+  }
+
+  #passEarlyOn(): void {
+    for (const early of this.#early) early.reply({ outcome: AnswerOutcome.NotOwner });
+    this.#early = [];
+  }
+
   #finish(reply: Reply<void>): void {
     this.#isFinishing = true;
     this.#setMoment();
     const { epoch, log } = this.#options;
     log("hand-over-begun", { epoch });
-    for (const early of this.#early) early.reply({ outcome: AnswerOutcome.NotOwner });
-    this.#early = [];
+    this.#passEarlyOn();
     if (this.#journal === undefined) return reply();
     // Entries are stored in order, so this is stored after all that came before it.
     this.#journal.post({ kind: "write", entries: [], onStored: reply });
--- a/src/platform/stand_in/fleet_checks.ts
+++ b/src/platform/stand_in/fleet_checks.ts
@@ -2,7 +2,9 @@
 
 import type { ConfigurationData } from "../../fleet/configuration.ts";
 import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
+import { JobState } from "../../fleet/job.ts";
 import {
+  formatTaskName,
   type JobSpecification,
   parseTaskName,
   type StepSpecification,
@@ -17,6 +19,9 @@
 /** How long after its acceptance a job that has not begun must be counted, in milliseconds. */
 const VISIBLE_MILLISECONDS = 5_000;
 
+/** Jobs that no caller submits, and that callers ask for all the same. */
+export const UNSUBMITTED_JOBS: readonly string[] = ["nobody", "00000000000000ff"];
+
 /** Options of `FleetChecks`. */
 export interface FleetChecksOptions {
   /** What operators have published. */
@@ -47,6 +52,10 @@
   readonly #acceptedAt = new Map<string, number>();
   /** The jobs of which an executor has begun a task. */
   readonly #begun = new Set<string>();
+  /** The jobs that callers asked to cancel, acknowledged or not. */
+  readonly #cancelAsked = new Set<string>();
+  /** The jobs that were shown as over, with what was shown. */
+  readonly #shownOver = new Map<string, string>();
   readonly #cancelledAt = new Map<string, number>();
   readonly #done = new Set<string>();
   /** The tasks whose end was lost with its executor: they may start again. */
@@ -83,6 +92,11 @@
     this.#acceptedAt.set(id, now);
   }
 
+  /** Notes that a caller asks to cancel a job. */
+  addCancelAsked(id: string): void {
+    this.#cancelAsked.add(id);
+  }
+
   /** Notes that a cancel was acknowledged. */
   addCancel(id: string, now: number): void {
     this.#cancelledAt.set(id, now);
@@ -110,7 +124,8 @@
 
   /** Notes a broken promise. */
   addViolation(rule: string, what: string): void {
-    if (this.violations.length < 20) this.violations.push(`${rule}: ${what}`);
+    const line = `${rule}: ${what}`;
+    if (this.violations.length < 20 && !this.violations.includes(line)) this.violations.push(line);
   }
 
   /** Judges a start; one that an executor carries out late is not bound by time. */
@@ -189,25 +204,26 @@
     for (const [run, isAtWork] of runs) this.handleEnd(run, RunEnd.Stopped, now, isAtWork);
   }
 
-  /** Checks that a job is shown as failed only if a task of it has failed as often as it may. */
+  /** Checks what callers are told of every job, and of one that nobody submitted. */
   checkShownJobs(getState: (id: string) => string | undefined): void {
-    const limit = this.#getAttemptLimit();
-    for (const id of this.#jobs.keys()) {
-      if (getState(id) !== "failed") continue;
-      const hasCause = [...this.#failures].some(([task, count]) =>
-        task.startsWith(`${id}.`) && count >= limit
-      );
-      if (!hasCause) this.addViolation("LOST", `${id} is shown as failed`);
+    for (const id of this.#jobs.keys()) this.#checkShown(id, getState(id));
+    for (const id of UNSUBMITTED_JOBS) {
+      if (getState(id) !== undefined) this.addViolation("MIXED", `${id} was never submitted`);
     }
   }
 
   /** Checks that a queue's count covers half of the jobs that have not begun for a while. */
-  checkCounts(getWaitingCount: (queue: string) => number, now: number): void {
+  checkCounts(
+    getWaitingCount: (queue: string) => number,
+    getState: (id: string) => string | undefined,
+    now: number,
+  ): void {
     for (const { name } of this.#options.configuration.queues) {
       let unbegun = 0;
       for (const [id, acceptedAt] of this.#acceptedAt) {
         if (this.#jobs.get(id)?.queue !== name || now - acceptedAt < VISIBLE_MILLISECONDS) continue;
-        if (!this.#begun.has(id) && !this.#cancelledAt.has(id)) unbegun += 1;
+        const isCancelled = this.#cancelAsked.has(id) && getState(id) === JobState.Cancelled;
+        if (!this.#begun.has(id) && !isCancelled) unbegun += 1;
       }
       const waiting = getWaitingCount(name);
       if (waiting >= unbegun / 2) continue;
@@ -220,6 +236,8 @@
     for (const [id, { specification }] of this.#jobs) {
       if (!this.#acceptedAt.has(id) || this.#cancelledAt.has(id)) continue;
       const state = getState(id);
+      // A cancel that was asked for and not answered may have been stored.
+      if (state === JobState.Cancelled && this.#cancelAsked.has(id)) continue;
       if (state === "completed" || state === "failed") continue;
       specification.steps.forEach((step, number) => {
         for (let index = 0; index < step.count; index += 1) {
@@ -257,6 +275,54 @@
     }
   }
 
+  /** Checks that a job is known, over only with cause, and stays as it was shown at its end. */
+  #checkShown(id: string, state: string | undefined): void {
+    if (state === undefined && this.#acceptedAt.has(id)) {
+      this.addViolation("LOST", `${id} is accepted and not known`);
+    }
+    const before = this.#shownOver.get(id);
+    if (before !== undefined) {
+      if (before === state) return;
+      this.#shownOver.delete(id);
+      this.addViolation("MIXED", `${id} was shown as ${before} and is ${state}`);
+    }
+    if (state === undefined || !isOver(state)) return;
+    this.#shownOver.set(id, state);
+    if (state === JobState.Completed) {
+      const task = this.#findNotDone(id);
+      if (task !== undefined) this.addViolation("MIXED", `${id} is completed without ${task}`);
+    }
+    if (state === JobState.Failed && !this.#hasFailed(id)) {
+      this.addViolation("LOST", `${id} is shown as failed`);
+    }
+    if (state === JobState.Cancelled && !this.#cancelAsked.has(id)) {
+      this.addViolation("LOST", `${id} is shown as cancelled`);
+    }
+  }
+
+  /** Gets a task of a job that no executor has ended as done; one end stands for a whole gang. */
+  #findNotDone(id: string): string | undefined {
+    const { steps, repeats } = this.#jobs.get(id)!.specification;
+    for (let occurrence = 0; occurrence < Math.max(1, repeats); occurrence += 1) {
+      for (const [number, { count, isGang }] of steps.entries()) {
+        const names = Array.from(
+          { length: count },
+          (_, index) => formatTaskName({ jobId: id, occurrence, step: number, index }),
+        );
+        if (isGang && names.some((name) => this.#done.has(name))) continue;
+        const missing = names.find((name) => !this.#done.has(name));
+        if (missing !== undefined) return missing;
+      }
+    }
+    return undefined;
+  }
+
+  /** Gets whether a task of a job has failed as often as it may. */
+  #hasFailed(id: string): boolean {
+    const limit = this.#getAttemptLimit();
+    return [...this.#failures].some(([task, count]) => task.startsWith(`${id}.`) && count >= limit);
+  }
+
   /** Judges that an order ends a lasting task at work: enough others of its step must not be away. */
   #judgeAbsence(task: string, now: number): void {
     const step = this.getStep(task);
@@ -274,3 +340,7 @@
     return this.#options.configuration.queues[0]!.attemptLimit;
   }
 }
+
+function isOver(state: string): boolean {
+  return state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
+}
