Check in the random runs that nothing that could run stays unstarted in calm times

In the world an executor whose host is taken may stay listed, without answers, and entries of living executors may leave the list.

Evidence: the check is seen to fail on three owners that are told falsely.

Each wave of the world counts all hosts that are away, so the runs have one wave only.

--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -20,6 +20,7 @@
 import { ExecutorModel, type ModelRun, type RunPlan } from "./executor_model.ts";
 import { FleetChecks } from "./fleet_checks.ts";
 import { ProviderModel } from "./provider_model.ts";
+import { StartChecks } from "./start_checks.ts";
 import type { FleetWorldOptions, WorldFaults } from "./world_options.ts";
 
 /** The lease that the owner grants, in milliseconds. */
@@ -47,6 +48,7 @@
   pooledMilliseconds = 0;
   readonly #options: FleetWorldOptions;
   readonly #checks: FleetChecks;
+  readonly #starts: StartChecks;
   #faults: WorldFaults;
   readonly #provider: ProviderModel;
   readonly #random: () => number;
@@ -55,6 +57,10 @@
   readonly #journal = new Map<string, Uint8Array>();
   readonly #evacuatedZones = new Set<string>();
   readonly #waves = new Map<number, MaintenanceWave>();
+  /** The executors that are gone and listed still. */
+  readonly #lingering = new Map<string, ExecutorEntry>();
+  /** The executors whose entries are not listed, though they live. */
+  readonly #hidden = new Set<string>();
   readonly #completedWaves = new Set<number>();
   readonly #events = EventQueue.create();
   #owner: FleetOwner | undefined;
@@ -74,6 +80,10 @@
       configuration: options.configuration,
       noticeMilliseconds: NOTICE_MILLISECONDS,
     });
+    this.#starts = StartChecks.create({
+      configuration: options.configuration,
+      onBroken: (rule, what) => this.#checks.addViolation(rule, what),
+    });
     for (const entry of options.executors ?? []) {
       this.#entries.set(entry.id, entry);
       this.#models.set(entry.id, this.#createModel(entry));
@@ -126,22 +136,26 @@
   /** Submits a job. */
   submit(id: string, queue: string, customer: string, specification: JobSpecification): void {
     this.#checks.addJob(id, customer, specification);
+    this.#starts.addJob(id, { queue, customer, specification });
     const told = this.#options.lies?.job?.(specification) ?? specification;
     this.#withOwner((owner) =>
       owner.submit({ id, queue, customer, specification: told }, () => {
         this.#count("accepted");
         this.#checks.addAccepted(id);
+        this.#starts.addAccepted(id);
       })
     );
   }
 
   /** Cancels a job. */
   cancel(id: string): void {
+    this.#starts.removeJob(id);
     this.#withOwner((owner) => owner.cancel(id, () => this.#checks.addCancel(id, this.#now)));
   }
 
   /** Takes a zone out. */
   evacuate(zone: string): void {
+    this.#starts.addTrouble(this.#now);
     this.#evacuatedZones.add(zone);
     this.#checks.addEvacuation(zone, this.#now);
     this.#tellRequests();
@@ -157,6 +171,7 @@
   drain(id: string): void {
     const entry = this.#entries.get(id);
     if (entry !== undefined) {
+      this.#starts.addTrouble(this.#now);
       this.#entries.set(id, { ...entry, isDraining: true });
       this.#checks.addDrain(id, this.#now);
     }
@@ -167,6 +182,7 @@
   crash(id: string): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
+    this.#starts.addTrouble(this.#now);
     const model = this.#models.get(id)!;
     for (const run of model.running.values()) {
       this.#checks.handleEnd(run, RunEnd.Lapsed, this.#now, model.isAtWork(run, this.#now));
@@ -179,11 +195,24 @@
     this.#tellExecutors();
   }
 
+  /** Takes the entries of executors that live on out of the list, and puts them back. */
+  hide(ids: readonly string[], milliseconds: number): void {
+    this.#starts.addTrouble(this.#now);
+    for (const id of ids) this.#hidden.add(id);
+    this.#tellExecutors();
+    this.#schedule(milliseconds, () => {
+      this.#starts.addTrouble(this.#now);
+      for (const id of ids) this.#hidden.delete(id);
+      this.#tellExecutors();
+    });
+  }
+
   /** Puts a new owner in the place of the present one, which can do nothing more that counts. */
   replaceOwner(): void {
     const { lies, configuration } = this.#options;
     const previousClaim = this.#getClaim();
     const stored = this.#getStored();
+    this.#starts.addTrouble(this.#now);
     this.#fence += 1;
     this.#ownedSince = this.#now;
     const fence = this.#fence;
@@ -217,9 +246,14 @@
     this.#tellRequests();
   }
 
+  /** Changes what goes wrong from now on. */
+  setFaults(faults: WorldFaults): void {
+    this.#faults = faults;
+  }
+
   /** Ends all faults; what is on its way may still come late. */
   endFaults(): void {
-    this.#faults = { lostPart: 0, latePart: 0, failingPart: 0 };
+    this.setFaults({ lostPart: 0, latePart: 0, failingPart: 0 });
   }
 
   /** Checks that nothing waits any more, and that every lasting task runs. */
@@ -362,12 +396,18 @@
       return model === undefined || !isSameLife ? OrderOutcome.Gone : act(model);
     };
     const there = 1 + this.#random() * 4;
+    if (this.#options.lingerMilliseconds !== undefined && !this.#models.has(entry.id)) {
+      this.#schedule(ORDER_TIMEOUT_MILLISECONDS, () => answer(OrderOutcome.Unanswered));
+      return;
+    }
     if (this.#random() < lostPart) {
       this.#count("lost");
+      this.#starts.addTrouble(this.#now);
       const isLate = this.#random() < latePart;
       if (isLate) {
         this.#schedule(2_000 + this.#random() * 10_000, () => {
           this.#isDeliveringLate = true;
+          this.#starts.addTrouble(this.#now);
           deliver();
           this.#isDeliveringLate = false;
         });
@@ -407,6 +447,7 @@
       },
       onEnd: (run, end, isAtWork) => {
         this.#count(end);
+        this.#starts.addEnd(run.task, end);
         this.#checks.handleEnd(run, end, this.#now, isAtWork);
       },
     });
@@ -423,6 +464,13 @@
   #check(): void {
     this.#checks.checkShownJobs((id) => this.#owner?.getJobState(id));
     this.#checks.checkRoom(this.#models, this.#entries);
+    this.#starts.check({
+      now: this.#now,
+      models: this.#models,
+      entries: this.#entries,
+      evacuatedZones: this.#evacuatedZones,
+      getJobState: (id) => this.#owner?.getJobState(id),
+    });
   }
 
   /** Ends the executor of a host that is taken away, with all that runs there. */
@@ -436,10 +484,22 @@
     this.#checks.handleTaken(runs, this.#now);
     this.#checks.addLost(model.getUnacknowledged());
     this.#models.delete(host.executorId);
+    this.#linger(this.#entries.get(host.executorId)!);
     this.#entries.delete(host.executorId);
     this.#tellExecutors();
   }
 
+  /** Lets the list name an executor that is gone for a while. */
+  #linger(entry: ExecutorEntry): void {
+    const { lingerMilliseconds } = this.#options;
+    if (lingerMilliseconds === undefined) return;
+    this.#lingering.set(entry.id, entry);
+    this.#schedule(this.#random() * lingerMilliseconds, () => {
+      this.#lingering.delete(entry.id);
+      this.#tellExecutors();
+    });
+  }
+
   /** Starts an executor on a host that is back, unless its pool is a spare one. */
   #createExecutor(host: Host): string {
     if (this.#isSpare(host.pool)) return "";
@@ -504,7 +564,8 @@
 
   #getToldEntries(): ExecutorEntry[] {
     const tell = this.#options.lies?.entry ?? ((entry: ExecutorEntry) => entry);
-    return [...this.#entries.values()].map(tell);
+    return [...this.#lingering.values(), ...this.#entries.values()]
+      .filter(({ id }) => !this.#hidden.has(id)).map(tell);
   }
 
   #tellExecutors(): void {
--- a/src/platform/stand_in/world_options.ts
+++ b/src/platform/stand_in/world_options.ts
@@ -47,6 +47,8 @@
   hosts?: readonly Host[];
   /** How the sizes of pools follow their load, where not as usual. */
   capacityTerms?: CapacityTerms;
+  /** For how long an executor that is gone stays listed and answers nothing at most, in milliseconds. */
+  lingerMilliseconds?: number;
   /** Decides how a run goes. */
   planRun?: (task: string) => RunPlan;
   /** What the owner is told falsely. */
