Use an executor again whose entry the list lost for a moment

Cause, found by reading: an idle executor that is listed no more was ended like one whose life is over, and a life that is over is not taken from the list again while its id is listed. If its entry was back in the next change of the list, the owner ignored the executor for the rest of its time, while it lived and had room.

Change: such an executor is dropped, not ended: it is new when it is listed again. Lives that an answer, a move or a maintenance has ended are remembered as before.

Evidence: the test in fleet_owner_test failed first: the job was still queued after 10 s on four idle executors.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -190,7 +190,8 @@
       executor.isListed = listed.has(executor.id);
       const isIdle = !executor.isListed && executor.runs.size === 0 &&
         !this.#unsettled.has(executor.id);
-      if (isIdle) this.#looks.endExecutor(executor, "it is listed no more");
+      // Its life may go on: the list loses entries with the platform's store, and has them back.
+      if (isIdle) this.#looks.dropExecutor(executor, "it is listed no more");
     }
     state.needsDispatch = true;
   }
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -216,3 +216,19 @@
   });
   t.deepEqual(seen, cases.map(([rule]) => [rule, true]));
 });
+
+test("an executor whose entry the list lost for a moment gets starts again", (t) => {
+  const world = FleetWorld.create({
+    seed: 4,
+    faults: NO_FAULTS,
+    configuration: CONFIGURATION,
+    executors: EXECUTORS,
+  });
+  world.run(500);
+  world.hide(world.getExecutorIds(), 500);
+  world.run(1_000);
+  world.submit("job", "berths", "quay", TWO_STEPS);
+  world.run(10_000);
+  t.is(world.getJobState("job"), "completed");
+  t.deepEqual(world.violations, []);
+});
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -63,14 +63,19 @@
     this.#handleReport(executor, sentAt, answer.report);
   }
 
-  /** Ends everything on an executor that is known to be gone. */
+  /** Ends everything on an executor that is known to be gone, though it may still be listed. */
   endExecutor(executor: Executor, reason: string): void {
     for (const assigned of [...executor.runs.values()]) {
       this.#runs.handleLost(executor, assigned, reason);
     }
+    this.#state.departed.add(getLife(executor.entry));
+    this.dropExecutor(executor, reason);
+  }
+
+  /** Forgets an executor on which nothing runs; it is new if it is listed again. */
+  dropExecutor(executor: Executor, reason: string): void {
     this.#state.executors.delete(executor.id);
     this.#state.ports.write([createExecutorGoneEntry(executor.id)], () => {});
-    this.#state.departed.add(getLife(executor.entry));
     this.#state.log("executor-gone", { executor: executor.id, reason });
   }
 
