Let a late answer of an executor's life before tell nothing of the next one

Cause, found by reading: the answer to a look was taken for the executor that has the id now. If an executor was born again and listed before a look at its life before was answered, the old report (its birth differs) ended the new life: what ran there was started elsewhere too, and the new life was ignored for as long as it was listed.

Change: each executor knows since when the owner knows of it; the answer to a look that was sent before counts no more, but for a fence that it has seen.

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -39,6 +39,8 @@
 export class Executor {
   /** What the platform's list says of it. */
   entry: ExecutorEntry;
+  /** Since when the owner knows of it, on the steady clock. */
+  knownSince = -Infinity;
   /** Whether the list still names it. */
   isListed = true;
   /** Whether it has answered under the owner's fence. */
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -328,7 +328,9 @@
       executor.entry = entry;
       return;
     }
-    state.executors.set(entry.id, Executor.create(entry));
+    const created = Executor.create(entry);
+    created.knownSince = state.now;
+    state.executors.set(entry.id, created);
     state.log("executor-listed", {
       executor: entry.id,
       service: entry.service,
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -232,3 +232,22 @@
   t.is(world.getJobState("job"), "completed");
   t.deepEqual(world.violations, []);
 });
+
+test("a late answer of an executor's life before does not end the next one", (t) => {
+  const world = FleetWorld.create({
+    seed: 5,
+    faults: { ...NO_FAULTS, delayMilliseconds: 600 },
+    configuration: CONFIGURATION,
+    executors: EXECUTORS,
+  });
+  world.run(3_000);
+  world.submit("before", "berths", "quay", TWO_STEPS);
+  world.run(1_000);
+  for (const id of world.getExecutorIds()) world.crash(id);
+  world.run(1_000);
+  world.endFaults();
+  world.submit("job", "berths", "quay", TWO_STEPS);
+  world.run(10_000);
+  t.is(world.getJobState("job"), "completed");
+  t.deepEqual(world.violations, []);
+});
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -47,6 +47,7 @@
     const state = this.#state;
     const executor = state.executors.get(executorId);
     if (executor === undefined) return;
+    if (sentAt < executor.knownSince) return this.#handleEarlierLife(executor, answer.outcome);
     executor.isLooking = false;
     executor.lookedAt = state.now;
     if (answer.outcome !== OrderOutcome.Done) {
@@ -107,6 +108,11 @@
     executor.acknowledgedEnd = executor.storedEnd;
   }
 
+  /** An answer to a look at the life before tells nothing of this one, but for a later owner. */
+  #handleEarlierLife(executor: Executor, outcome: OrderOutcome): void {
+    if (outcome === OrderOutcome.Fenced) this.#state.depose(executor.id);
+  }
+
   #handleFailedLook(executor: Executor, outcome: OrderOutcome): void {
     const state = this.#state;
     if (outcome === OrderOutcome.Fenced) state.depose(executor.id);
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -418,7 +418,10 @@
     }
     this.#schedule(there, () => {
       const outcome = deliver();
-      this.#schedule(1 + this.#random() * 4, () => answer(outcome));
+      const { delayMilliseconds } = this.#faults;
+      const delay = delayMilliseconds === undefined ? 0 : this.#random() * delayMilliseconds;
+      if (delay > 0) this.#starts.addTrouble(this.#now + delay);
+      this.#schedule(1 + this.#random() * 4 + delay, () => answer(outcome));
     });
   }
 
--- a/src/platform/stand_in/world_options.ts
+++ b/src/platform/stand_in/world_options.ts
@@ -15,6 +15,8 @@
   latePart: number;
   /** The part of the runs that fail. */
   failingPart: number;
+  /** How much longer answers to orders take, at most, in milliseconds; none if absent. */
+  delayMilliseconds?: number;
 }
 
 /** What the owner is told falsely, so that a check can be seen to fail. */
