Ask for advice anew when an executor does not take a ticket

Cause, found by reading: a start refused for its ticket was repeated at once with the same ticket on the same executor, which is the least loaded one, until the ticket's time was over. An executor that is born again under its id takes no ticket of its life before, so a step could wait for the whole validity while others had room.

Change: a ticket that is not taken is forgotten, so that the step goes elsewhere or asks. The calm stretches' random runs have late answers too.

--- a/src/owner/advice_control.ts
+++ b/src/owner/advice_control.ts
@@ -58,6 +58,11 @@
     return isValid ? ticket.ticket : undefined;
   }
 
+  /** Forgets a ticket that its executor did not take: its life may be another one by now. */
+  removeTicket(task: string, executorId: string): void {
+    this.#steps.get(task.slice(0, task.lastIndexOf(".")))?.tickets.delete(executorId);
+  }
+
   /** Asks for the steps that wait and have no executor with room and a ticket. */
   tick(): void {
     const state = this.#state;
--- a/src/owner/calm_stretch_test.ts
+++ b/src/owner/calm_stretch_test.ts
@@ -140,6 +140,7 @@
       lostPart: fc.constantFrom(0, 0.05, 0.2, 0.4),
       latePart: fc.constantFrom(0, 0, 0.1),
       failingPart: fc.constantFrom(0, 0.05, 0.2),
+      delayMilliseconds: fc.constantFrom(0, 300, 900),
     }),
     happenings: fc.array(happening, { minLength: 4, maxLength: 4 }),
   });
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -25,7 +25,13 @@
 import { PaceControl } from "./pace_control.ts";
 import { RunControl } from "./run_control.ts";
 import { RunHealth } from "./run_health.ts";
-import type { LookAnswer, MaintainOrder, MoveOrder, OrderAnswer } from "./owner_ports.ts";
+import {
+  type LookAnswer,
+  type MaintainOrder,
+  type MoveOrder,
+  type OrderAnswer,
+  OrderOutcome,
+} from "./owner_ports.ts";
 
 /** What holds at the moment of a decision. */
 export interface OwnerMoment {
@@ -233,6 +239,7 @@
 
   /** Acts on the answer to a start. */
   handleStartAnswer(executorId: string, task: string, run: number, answer: OrderAnswer): void {
+    if (answer.outcome === OrderOutcome.NoTicket) this.#advice.removeTicket(task, executorId);
     this.#runs.handleStartAnswer(executorId, task, run, answer);
   }
 
