Settle at a take-over what ran on hosts that have been taken since

A new owner lets what waits start only when every executor that the earlier one recorded has answered, or after 6.7 s. An executor whose host was moved or maintained right before the kill never answers, and that it is gone may not have been stored: until then its whole service starts nothing of what waited.

Change: when the provider's list shows that the host of such an executor is away or has another executor, the executor's life is over, and the others are not held up. A host that is down proves nothing, and is waited for as before.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -257,6 +257,8 @@
   /** Sets the provider's list of hosts. */
   setHosts(hosts: readonly Host[]): void {
     this.#hosts.setHosts(hosts);
+    this.#endTaken();
+    this.#settleUnknown();
   }
 
   /** Acts on the answer to an order to maintain a host. */
@@ -346,6 +348,18 @@
     });
   }
 
+  /** Ends what the earlier owner used on hosts that have been taken since: nothing runs there. */
+  #endTaken(): void {
+    const state = this.#state;
+    for (const id of this.#unsettled) {
+      const executor = state.executors.get(id);
+      // A life that began since is not the one that the earlier owner used.
+      if (executor === undefined || executor.knownSince > state.startedAt) continue;
+      if (executor.isFenced) continue;
+      if (this.#hosts.isTaken(executor)) this.#looks.endExecutor(executor, "its host was taken");
+    }
+  }
+
   /** Lets tasks start that no earlier owner can still have running. */
   #settleUnknown(): void {
     if (!this.#hasUnknown) return;
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -93,6 +93,20 @@
     return undefined;
   }
 
+  /** Gets whether the list shows that an executor's life is over: its host is away or has another. */
+  isTaken(executor: Executor): boolean {
+    const host = this.#hosts.get(executor.entry.host ?? "");
+    switch (host?.state) {
+      case HostState.Moving:
+      case HostState.Maintenance:
+        return true;
+      case HostState.Up:
+        return host.executorId !== "" && host.executorId !== executor.id;
+      default:
+        return false;
+    }
+  }
+
   /** Reserves a host for a planned action, unless another one has it. */
   reserve(host: Host, purpose: string): boolean {
     if (this.#reserved.has(host.name)) return false;
--- /dev/null
+++ b/src/owner/take_over_test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import { Configuration } from "../fleet/configuration.ts";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import { type Host, HostState } from "../fleet/host.ts";
+import { Job } from "../fleet/job.ts";
+import { createLoneOwner } from "../stand_ins/lone_owner.ts";
+import { createStepSpecification } from "../stand_ins/step_samples.ts";
+import { createExecutorEntry } from "./executor_records.ts";
+
+/** How long an earlier owner's starts may run at most, in milliseconds. */
+const DOUBT_MILLISECONDS = 6_695;
+
+const CONFIGURATION = Configuration.create({
+  version: 1,
+  queues: [{
+    name: "tugs",
+    host: "h",
+    pathPrefix: "/",
+    service: "tugdesk",
+    priority: 0,
+    attemptLimit: 4,
+    stretch: 1.6,
+    objectiveMilliseconds: 600,
+    isPublic: true,
+  }],
+  services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+  customers: [],
+  largestBodyBytes: 1,
+});
+
+function createEntry(number: number): ExecutorEntry {
+  return {
+    id: `i-${number}`,
+    born: 1,
+    service: "tugdesk",
+    address: `10.0.0.${number}:80`,
+    zone: "zl-a",
+    host: `m-${number}`,
+    labels: [],
+    capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
+    isDraining: false,
+  };
+}
+
+function createHost(number: number, state: HostState, executorId: string): Host {
+  const { capacity, zone } = createEntry(number);
+  return { name: `m-${number}`, pool: "tugdesk", state, zone, capacity, executorId };
+}
+
+test("work that waits is not held up by an executor whose host has been taken", (t) => {
+  const hosts: Record<string, Host> = {
+    "the executor may live": createHost(2, HostState.Up, "i-2"),
+    "the host has another executor": createHost(2, HostState.Up, "i-9"),
+    "the host is on its way to another pool": createHost(2, HostState.Moving, "i-2"),
+    "the host is maintained": createHost(2, HostState.Maintenance, ""),
+    "the host is down": createHost(2, HostState.Down, ""),
+  };
+  const startedAfter = Object.entries(hosts).map(([name, host]) => {
+    const [silent, alive] = [createEntry(2), createEntry(1)];
+    const stored = [silent, alive].map(createExecutorEntry);
+    const specification = {
+      text: "",
+      steps: [createStepSpecification()],
+      repeats: 0,
+      firstAt: 0,
+      intervalMilliseconds: 0,
+    };
+    const job = Job.create({ id: "j", queue: "tugs", customer: "", specification, acceptedAt: 0 });
+    const { owner, starts, advance, answerEmpty } = createLoneOwner({
+      configuration: CONFIGURATION,
+      executors: [silent, alive],
+      stored: stored.map(({ key, value }) => [key, value!]),
+      jobs: [job],
+      doubtMilliseconds: DOUBT_MILLISECONDS,
+    });
+    answerEmpty(alive);
+    advance(() => owner.setHosts([createHost(1, HostState.Up, "i-1"), host]));
+    let steps = 0;
+    for (; starts.length === 0 && steps < 400; steps += 1) advance();
+    return [name, `${starts[0]?.executor.id} after ${steps * 25} ms`];
+  });
+  t.snapshot(Object.fromEntries(startedAfter));
+});
--- /dev/null
+++ b/src/stand_ins/lone_owner.ts
@@ -0,0 +1,110 @@
+/** An owner by itself for tests: its orders are kept, and its entries are stored at the next step. */
+
+import type { Configuration } from "../fleet/configuration.ts";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import type { Job } from "../fleet/job.ts";
+import { FleetOwner } from "../owner/fleet_owner.ts";
+import { EarlierHostOrders } from "../owner/host_order_records.ts";
+import { OrderOutcome, type OwnerPorts, type StartOrder } from "../owner/owner_ports.ts";
+import { CAPACITY_TERMS } from "../owner/pool_need.ts";
+
+/** How far time goes at a step, in milliseconds: the owner's own. */
+const STEP_MILLISECONDS = 25;
+
+/** Options of `createLoneOwner`. */
+export interface LoneOwnerOptions {
+  /** The configuration. */
+  configuration: Configuration;
+  /** The executors that are listed. */
+  executors: readonly ExecutorEntry[];
+  /** The jobs that earlier owners stored. */
+  jobs?: readonly Job[];
+  /** What earlier owners stored, by key. */
+  stored?: readonly (readonly [string, Uint8Array])[];
+  /** How long an earlier owner's starts may still run, in milliseconds. */
+  doubtMilliseconds?: number;
+}
+
+/** An owner, and what it has ordered. */
+export interface LoneOwner {
+  /** The owner. */
+  owner: FleetOwner;
+  /** The starts. */
+  starts: readonly StartOrder[];
+  /** The steps that the adviser was asked for. */
+  asked: readonly string[];
+  /** Lets something happen, and a step of time pass. */
+  advance: (act?: () => void) => void;
+  /** Lets an executor answer that nothing runs there. */
+  answerEmpty: (executor: ExecutorEntry) => void;
+}
+
+/** Creates an owner whose orders go nowhere. */
+export function createLoneOwner(options: LoneOwnerOptions): LoneOwner {
+  const ignore = () => {};
+  const starts: StartOrder[] = [];
+  const asked: string[] = [];
+  let callbacks: (() => void)[] = [];
+  const ports: OwnerPorts = {
+    start: (order) => starts.push(order),
+    stop: ignore,
+    pace: ignore,
+    look: ignore,
+    askAdvice: (step) => asked.push(step),
+    listHosts: ignore,
+    maintain: ignore,
+    move: ignore,
+    writeStatus: ignore,
+    write: (_, onStored) => callbacks.push(onStored),
+  };
+  const stored = options.stored ?? [];
+  const owner = FleetOwner.create({
+    fence: 1,
+    limits: {
+      rememberMilliseconds: 1_000,
+      stopMilliseconds: 900,
+      earlierLeaseMilliseconds: 0,
+      farFactor: 1,
+    },
+    ports,
+    log: ignore,
+    startedAt: 0,
+    timeOfDay: 0,
+    configuration: options.configuration,
+    jobs: options.jobs ?? [],
+    executors: options.executors,
+    stored,
+    capacityTerms: CAPACITY_TERMS,
+    earlierHostOrders: EarlierHostOrders.create({
+      stored,
+      previousClaim: undefined,
+      leaseMilliseconds: 1,
+      startedAt: 0,
+    }),
+    maintenanceMilliseconds: 0,
+    doubtMilliseconds: options.doubtMilliseconds ?? 0,
+  });
+  let now = 0;
+  const advance = (act = ignore) => {
+    now += STEP_MILLISECONDS;
+    owner.setMoment({
+      now,
+      timeOfDay: now,
+      renewal: 1,
+      mayStart: true,
+      mayExtend: true,
+      leaseMilliseconds: 3_000,
+    });
+    act();
+    owner.tick();
+    owner.settle();
+    const due = callbacks;
+    callbacks = [];
+    for (const callback of due) callback();
+  };
+  const answerEmpty = ({ id, born }: ExecutorEntry) => {
+    const report = { born, executorTime: now, running: [], ended: [] };
+    advance(() => owner.handleLookAnswer(id, now, { outcome: OrderOutcome.Done, report }));
+  };
+  return { owner, starts, asked, advance, answerEmpty };
+}
