Store the queue of accepted jobs, so that a new owner carries them out when it is removed

Cause, found by reading: the owner remembers a queue that operators remove, since its accepted jobs are still owed, but only in memory. An owner that took over after the removal did not know the queue's service, and started none of its jobs, ever.

Change: the queue is stored along with the first job that an owner accepts on it, and again when it has changed; a new owner remembers it, and the configuration goes before it.

Evidence: the second test of take_over_test failed first: nothing was started.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -23,6 +23,7 @@
 import { rankLeastLoaded } from "./placement.ts";
 import type { CapacityTerms } from "./pool_need.ts";
 import { PaceControl } from "./pace_control.ts";
+import { readStoredQueues } from "./queue_records.ts";
 import { RunControl } from "./run_control.ts";
 import { RunHealth } from "./run_health.ts";
 import {
@@ -106,6 +107,7 @@
     this.#state = FleetState.create(options);
     this.#state.now = options.startedAt;
     this.#state.timeOfDay = options.timeOfDay;
+    for (const queue of readStoredQueues(options.stored)) this.#state.rememberQueue(queue);
     this.#state.setConfiguration(options.configuration);
     this.#runs = RunControl.create(this.#state);
     this.#looks = LookControl.create(this.#state, this.#runs);
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -7,7 +7,8 @@
 import { addResources, type Resources } from "../fleet/resources.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
 import { DurationBook } from "./duration_book.ts";
-import type { OwnerPorts } from "./owner_ports.ts";
+import type { JournalEntry, OwnerPorts } from "./owner_ports.ts";
+import { createQueueEntry } from "./queue_records.ts";
 
 /** The bounds and times that the owner's decisions keep. */
 export interface OwnerLimits {
@@ -96,6 +97,8 @@
   needsDispatch = true;
   #lastRun = 0;
   readonly #queues = new Map<string, Queue>();
+  /** The queues as this owner has stored them last, by name. */
+  readonly #storedQueues = new Map<string, Queue>();
 
   private constructor(options: FleetStateOptions) {
     this.fence = options.fence;
@@ -138,6 +141,19 @@
     this.needsDispatch = true;
   }
 
+  /** Remembers a queue that an earlier owner stored. */
+  rememberQueue(queue: Queue): void {
+    this.#queues.set(queue.name, queue);
+  }
+
+  /** Gets the entry to store along with a queue's next job, unless this owner has stored it. */
+  createQueueEntries(name: string): JournalEntry[] {
+    const queue = this.getQueue(name);
+    if (queue === undefined || this.#storedQueues.get(name) === queue) return [];
+    this.#storedQueues.set(name, queue);
+    return [createQueueEntry(queue)];
+  }
+
   /** Gets the service whose executors run a job's tasks. */
   getService(job: Job): string | undefined {
     return this.getQueue(job.queue)?.service;
--- a/src/owner/job_desk.ts
+++ b/src/owner/job_desk.ts
@@ -63,7 +63,9 @@
     const callbacks = [onAccepted];
     this.#accepting.set(submission.id, callbacks);
     const job = Job.create({ ...submission, acceptedAt: state.timeOfDay });
-    state.ports.write([createAcceptedEntry(job)], () => {
+    // A later owner needs the queue to carry the job out, even if operators have removed it.
+    const entries = [createAcceptedEntry(job), ...state.createQueueEntries(job.queue)];
+    state.ports.write(entries, () => {
       this.#accepting.delete(job.id);
       state.jobs.set(job.id, job);
       this.#measure(job);
--- a/src/owner/take_over_test.ts
+++ b/src/owner/take_over_test.ts
@@ -1,32 +1,46 @@
 import test from "ava";
-import { Configuration } from "../fleet/configuration.ts";
+import { Configuration, type Queue } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import { type Host, HostState } from "../fleet/host.ts";
 import { Job } from "../fleet/job.ts";
+import type { JobSpecification } from "../fleet/job_specification.ts";
 import { createLoneOwner } from "../stand_ins/lone_owner.ts";
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
 import { createExecutorEntry } from "./executor_records.ts";
+import { readStoredJobs } from "./job_records.ts";
 
 /** How long an earlier owner's starts may run at most, in milliseconds. */
 const DOUBT_MILLISECONDS = 6_695;
 
-const CONFIGURATION = Configuration.create({
-  version: 1,
-  queues: [{
-    name: "tugs",
-    host: "h",
-    pathPrefix: "/",
-    service: "tugdesk",
-    priority: 0,
-    attemptLimit: 4,
-    stretch: 1.6,
-    objectiveMilliseconds: 600,
-    isPublic: true,
-  }],
-  services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
-  customers: [],
-  largestBodyBytes: 1,
-});
+const QUEUE: Queue = {
+  name: "tugs",
+  host: "h",
+  pathPrefix: "/",
+  service: "tugdesk",
+  priority: 0,
+  attemptLimit: 4,
+  stretch: 1.6,
+  objectiveMilliseconds: 600,
+  isPublic: true,
+};
+
+function createConfiguration(queues: Queue[]): Configuration {
+  return Configuration.create({
+    version: 1,
+    queues,
+    services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+    customers: [],
+    largestBodyBytes: 1,
+  });
+}
+
+const SPECIFICATION: JobSpecification = {
+  text: "",
+  steps: [createStepSpecification()],
+  repeats: 0,
+  firstAt: 0,
+  intervalMilliseconds: 0,
+};
 
 function createEntry(number: number): ExecutorEntry {
   return {
@@ -58,16 +72,15 @@
   const startedAfter = Object.entries(hosts).map(([name, host]) => {
     const [silent, alive] = [createEntry(2), createEntry(1)];
     const stored = [silent, alive].map(createExecutorEntry);
-    const specification = {
-      text: "",
-      steps: [createStepSpecification()],
-      repeats: 0,
-      firstAt: 0,
-      intervalMilliseconds: 0,
-    };
-    const job = Job.create({ id: "j", queue: "tugs", customer: "", specification, acceptedAt: 0 });
+    const job = Job.create({
+      id: "j",
+      queue: "tugs",
+      customer: "",
+      specification: SPECIFICATION,
+      acceptedAt: 0,
+    });
     const { owner, starts, advance, answerEmpty } = createLoneOwner({
-      configuration: CONFIGURATION,
+      configuration: createConfiguration([QUEUE]),
       executors: [silent, alive],
       stored: stored.map(({ key, value }) => [key, value!]),
       jobs: [job],
@@ -81,3 +94,27 @@
   });
   t.snapshot(Object.fromEntries(startedAfter));
 });
+
+test("a new owner starts accepted jobs of a queue that was removed", (t) => {
+  const executor = createEntry(1);
+  const before = createLoneOwner({
+    configuration: createConfiguration([QUEUE]),
+    executors: [executor],
+  });
+  before.advance(() =>
+    before.owner.submit(
+      { id: "j", queue: "tugs", customer: "", specification: SPECIFICATION },
+      () => {},
+    )
+  );
+  const stored = [...before.journal];
+  const { starts, advance, answerEmpty } = createLoneOwner({
+    configuration: createConfiguration([]),
+    executors: [executor],
+    stored,
+    jobs: readStoredJobs(stored).jobs,
+  });
+  answerEmpty(executor);
+  advance();
+  t.deepEqual(starts.map(({ task }) => task), ["j.0.0.0"]);
+});
--- a/src/stand_ins/lone_owner.ts
+++ b/src/stand_ins/lone_owner.ts
@@ -33,6 +33,8 @@
   starts: readonly StartOrder[];
   /** The steps that the adviser was asked for. */
   asked: readonly string[];
+  /** What is stored, by key. */
+  journal: ReadonlyMap<string, Uint8Array>;
   /** Lets something happen, and a step of time pass. */
   advance: (act?: () => void) => void;
   /** Lets an executor answer that nothing runs there. */
@@ -44,6 +46,7 @@
   const ignore = () => {};
   const starts: StartOrder[] = [];
   const asked: string[] = [];
+  const journal = new Map(options.stored);
   let callbacks: (() => void)[] = [];
   const ports: OwnerPorts = {
     start: (order) => starts.push(order),
@@ -55,7 +58,13 @@
     maintain: ignore,
     move: ignore,
     writeStatus: ignore,
-    write: (_, onStored) => callbacks.push(onStored),
+    write: (entries, onStored) => {
+      for (const { key, value } of entries) {
+        if (value === undefined) journal.delete(key);
+        else journal.set(key, value);
+      }
+      callbacks.push(onStored);
+    },
   };
   const stored = options.stored ?? [];
   const owner = FleetOwner.create({
@@ -106,5 +115,5 @@
     const report = { born, executorTime: now, running: [], ended: [] };
     advance(() => owner.handleLookAnswer(id, now, { outcome: OrderOutcome.Done, report }));
   };
-  return { owner, starts, asked, advance, answerEmpty };
+  return { owner, starts, asked, journal, advance, answerEmpty };
 }
