--- /dev/null
+++ b/src/owner/advice_test.ts
@@ -0,0 +1,66 @@
+import test from "ava";
+import { Configuration } from "../fleet/configuration.ts";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import { createLoneOwner } from "../stand_ins/lone_owner.ts";
+import { createStepSpecification } from "../stand_ins/step_samples.ts";
+import { OrderOutcome } from "./owner_ports.ts";
+
+const EXECUTOR: ExecutorEntry = {
+  id: "i-1",
+  born: 1,
+  service: "tugdesk",
+  address: "10.0.0.1:80",
+  zone: "zl-a",
+  labels: [],
+  capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
+  isDraining: false,
+};
+
+const CONFIGURATION = Configuration.create({
+  version: 1,
+  queues: [{
+    name: "tugs",
+    host: "h",
+    pathPrefix: "/",
+    service: "tugdesk",
+    priority: 0,
+    attemptLimit: 4,
+    stretch: 1.6,
+    objectiveMilliseconds: 600,
+    isPublic: true,
+    advice: { decideMilliseconds: 1, eachMilliseconds: 1, validMilliseconds: 9_000 },
+  }],
+  services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+  customers: [],
+  largestBodyBytes: 1,
+});
+
+test("a ticket that an executor does not take is not tried again, and advice is asked anew", (t) => {
+  const { owner, starts, asked, advance, answerEmpty } = createLoneOwner({
+    configuration: CONFIGURATION,
+    executors: [EXECUTOR],
+  });
+  answerEmpty(EXECUTOR);
+  const specification = {
+    text: "",
+    steps: [createStepSpecification()],
+    repeats: 0,
+    firstAt: 0,
+    intervalMilliseconds: 0,
+  };
+  advance(() => owner.submit({ id: "job", queue: "tugs", customer: "", specification }, () => {}));
+  const advise = (ticket: string) =>
+    advance(() =>
+      owner.handleAdvice("job.0.0", ["i-1"], { good: [["i-1", ticket]], validMilliseconds: 9_000 })
+    );
+  advance();
+  advise("first");
+  const [start] = starts;
+  advance(() =>
+    owner.handleStartAnswer("i-1", start!.task, start!.run, { outcome: OrderOutcome.NoTicket })
+  );
+  advance();
+  advise("second");
+  t.deepEqual(starts.map(({ ticket }) => ticket), ["first", "second"]);
+  t.deepEqual(asked, ["job.0.0", "job.0.0"]);
+});
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -23,14 +23,16 @@
 import { rankLeastLoaded } from "./placement.ts";
 import type { CapacityTerms } from "./pool_need.ts";
 import { PaceControl } from "./pace_control.ts";
+import { readStoredQueues } from "./queue_records.ts";
 import { RunControl } from "./run_control.ts";
 import { RunHealth } from "./run_health.ts";
-import type {
-  LookAnswer,
-  MaintainOrder,
-  MoveOrder,
-  OrderAnswer,
-  PaceOrder,
+import {
+  type LookAnswer,
+  type MaintainOrder,
+  type MoveOrder,
+  type OrderAnswer,
+  OrderOutcome,
+  type PaceOrder,
 } from "./owner_ports.ts";
 
 /** What holds at the moment of a decision. */
@@ -105,6 +107,7 @@
     this.#state = FleetState.create(options);
     this.#state.now = options.startedAt;
     this.#state.timeOfDay = options.timeOfDay;
+    for (const queue of readStoredQueues(options.stored)) this.#state.rememberQueue(queue);
     this.#state.setConfiguration(options.configuration);
     this.#runs = RunControl.create(this.#state);
     this.#looks = LookControl.create(this.#state, this.#runs);
@@ -195,7 +198,8 @@
       executor.isListed = listed.has(executor.id);
       const isIdle = !executor.isListed && executor.runs.size === 0 &&
         !this.#unsettled.has(executor.id);
-      if (isIdle) this.#looks.endExecutor(executor, "it is listed no more");
+      // Its life may go on: the list loses entries with the platform's store, and has them back.
+      if (isIdle) this.#looks.dropExecutor(executor, "it is listed no more");
     }
     state.needsDispatch = true;
   }
@@ -242,6 +246,7 @@
 
   /** Acts on the answer to a start. */
   handleStartAnswer(executorId: string, task: string, run: number, answer: OrderAnswer): void {
+    if (answer.outcome === OrderOutcome.NoTicket) this.#advice.removeTicket(task, executorId);
     this.#runs.handleStartAnswer(executorId, task, run, answer);
   }
 
@@ -264,6 +269,8 @@
   /** Sets the provider's list of hosts, whose reading began at a time on the steady clock. */
   setHosts(hosts: readonly Host[], readSince: number): void {
     this.#hosts.setHosts(hosts, readSince);
+    this.#endTaken();
+    this.#settleUnknown();
   }
 
   /** Acts on the answer to an order to maintain a host. */
@@ -342,7 +349,9 @@
       executor.entry = entry;
       return;
     }
-    state.executors.set(entry.id, Executor.create(entry));
+    const created = Executor.create(entry);
+    created.knownSince = state.now;
+    state.executors.set(entry.id, created);
     state.log("executor-listed", {
       executor: entry.id,
       service: entry.service,
@@ -351,6 +360,18 @@
     });
   }
 
+  /** Ends what the earlier owner used on hosts that have been taken since: nothing runs there. */
+  #endTaken(): void {
+    const state = this.#state;
+    for (const id of this.#unsettled) {
+      const executor = state.executors.get(id);
+      // A life that began since is not the one that the earlier owner used.
+      if (executor === undefined || executor.knownSince > state.startedAt) continue;
+      if (executor.isFenced) continue;
+      if (this.#hosts.isTaken(executor)) this.#looks.endExecutor(executor, "its host was taken");
+    }
+  }
+
   /** Lets tasks start that no earlier owner can still have running. */
   #settleUnknown(): void {
     const state = this.#state;
--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -47,6 +47,7 @@
     const state = this.#state;
     const executor = state.executors.get(executorId);
     if (executor === undefined) return;
+    if (sentAt < executor.knownSince) return this.#handleEarlierLife(executor, answer.outcome);
     executor.isLooking = false;
     executor.lookedAt = state.now;
     if (answer.outcome !== OrderOutcome.Done) {
@@ -63,14 +64,19 @@
     this.#handleReport(executor, sentAt, answer.report);
   }
 
-  /** Ends everything on an executor that is known to be gone. */
+  /** Ends everything on an executor that is known to be gone, though it may still be listed. */
   endExecutor(executor: Executor, reason: string): void {
     for (const assigned of [...executor.runs.values()]) {
       this.#runs.handleLost(executor, assigned, reason);
     }
+    this.#state.departed.add(getLife(executor.entry));
+    this.dropExecutor(executor, reason);
+  }
+
+  /** Forgets an executor on which nothing runs; it is new if it is listed again. */
+  dropExecutor(executor: Executor, reason: string): void {
     this.#state.executors.delete(executor.id);
     this.#state.ports.write([createExecutorGoneEntry(executor.id)], () => {});
-    this.#state.departed.add(getLife(executor.entry));
     this.#state.log("executor-gone", { executor: executor.id, reason });
   }
 
@@ -102,6 +108,11 @@
     executor.acknowledgedEnd = executor.storedEnd;
   }
 
+  /** An answer to a look at the life before tells nothing of this one, but for a later owner. */
+  #handleEarlierLife(executor: Executor, outcome: OrderOutcome): void {
+    if (outcome === OrderOutcome.Fenced) this.#state.depose(executor.id);
+  }
+
   #handleFailedLook(executor: Executor, outcome: OrderOutcome): void {
     const state = this.#state;
     if (outcome === OrderOutcome.Fenced) state.depose(executor.id);
--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -20,6 +20,7 @@
 import { ExecutorModel, type ModelRun, type RunPlan } from "./executor_model.ts";
 import { FleetChecks } from "./fleet_checks.ts";
 import { ProviderModel } from "./provider_model.ts";
+import { StartChecks } from "./start_checks.ts";
 import type { FleetWorldOptions, WorldFaults } from "./world_options.ts";
 
 /** The lease that the owner grants, in milliseconds. */
@@ -51,6 +52,7 @@
   pooledMilliseconds = 0;
   readonly #options: FleetWorldOptions;
   readonly #checks: FleetChecks;
+  readonly #starts: StartChecks;
   #faults: WorldFaults;
   readonly #provider: ProviderModel;
   readonly #random: () => number;
@@ -65,6 +67,10 @@
   readonly #wavesChangedAt = new Map<number, number>();
   /** The hosts of waves that the provider knows. */
   readonly #knownWaves = new Map<number, ReadonlySet<string>>();
+  /** The executors that are gone and listed still. */
+  readonly #lingering = new Map<string, ExecutorEntry>();
+  /** The executors whose entries are not listed, though they live. */
+  readonly #hidden = new Set<string>();
   readonly #completedWaves = new Set<number>();
   readonly #events = EventQueue.create();
   #owner: FleetOwner | undefined;
@@ -86,6 +92,10 @@
       configuration: options.configuration,
       noticeMilliseconds: NOTICE_MILLISECONDS,
     });
+    this.#starts = StartChecks.create({
+      configuration: options.configuration,
+      onBroken: (rule, what) => this.#checks.addViolation(rule, what),
+    });
     for (const entry of options.executors ?? []) {
       this.#entries.set(entry.id, entry);
       this.#models.set(entry.id, this.#createModel(entry));
@@ -140,11 +150,13 @@
   /** Submits a job. */
   submit(id: string, queue: string, customer: string, specification: JobSpecification): void {
     this.#checks.addJob(id, { queue, customer, specification });
+    this.#starts.addJob(id, { queue, customer, specification });
     const told = this.#options.lies?.job?.(specification) ?? specification;
     this.#withOwner((owner) =>
       owner.submit({ id, queue, customer, specification: told }, () => {
         this.#count("accepted");
         this.#checks.addAccepted(id, this.#now);
+        this.#starts.addAccepted(id);
       })
     );
   }
@@ -152,11 +164,13 @@
   /** Cancels a job. */
   cancel(id: string): void {
     this.#checks.addCancelAsked(id);
+    this.#starts.removeJob(id);
     this.#withOwner((owner) => owner.cancel(id, () => this.#checks.addCancel(id, this.#now)));
   }
 
   /** Takes a zone out. */
   evacuate(zone: string): void {
+    this.#starts.addTrouble(this.#now);
     this.#evacuatedZones.add(zone);
     this.#checks.addEvacuation(zone, this.#now);
     this.#tellRequests();
@@ -201,6 +215,7 @@
   drain(id: string): void {
     const entry = this.#entries.get(id);
     if (entry !== undefined) {
+      this.#starts.addTrouble(this.#now);
       this.#entries.set(id, { ...entry, isDraining: true });
       this.#checks.addDrain(id, this.#now);
     }
@@ -211,6 +226,7 @@
   crash(id: string): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
+    this.#starts.addTrouble(this.#now);
     this.#endRuns(id);
     this.#checks.addBirth(id);
     const reborn = { ...entry, born: entry.born + 1, isDraining: false };
@@ -219,11 +235,24 @@
     this.#tellExecutors();
   }
 
+  /** Takes the entries of executors that live on out of the list, and puts them back. */
+  hide(ids: readonly string[], milliseconds: number): void {
+    this.#starts.addTrouble(this.#now);
+    for (const id of ids) this.#hidden.add(id);
+    this.#tellExecutors();
+    this.#schedule(milliseconds, () => {
+      this.#starts.addTrouble(this.#now);
+      for (const id of ids) this.#hidden.delete(id);
+      this.#tellExecutors();
+    });
+  }
+
   /** Puts a new owner in the place of the present one, which can do nothing more that counts. */
   replaceOwner(): void {
     const { lies, configuration } = this.#options;
     const previousClaim = this.#getClaim();
     const stored = this.#getStored();
+    this.#starts.addTrouble(this.#now);
     this.#fence += 1;
     this.#ownedSince = this.#now;
     this.#toldStoredAt = this.#now;
@@ -447,12 +476,18 @@
       return model === undefined || !isSameLife ? OrderOutcome.Gone : act(model);
     };
     const there = 1 + this.#random() * 4;
+    if (this.#options.lingerMilliseconds !== undefined && !this.#models.has(entry.id)) {
+      this.#schedule(ORDER_TIMEOUT_MILLISECONDS, () => answer(OrderOutcome.Unanswered));
+      return;
+    }
     if (this.#random() < lostPart) {
       this.#count("lost");
+      this.#starts.addTrouble(this.#now);
       const isLate = this.#random() < latePart;
       if (isLate) {
         this.#schedule(2_000 + this.#random() * 10_000, () => {
           this.#isDeliveringLate = true;
+          this.#starts.addTrouble(this.#now);
           deliver();
           this.#isDeliveringLate = false;
         });
@@ -463,7 +498,10 @@
     }
     this.#schedule(there, () => {
       const outcome = deliver();
-      this.#schedule(1 + this.#random() * 4, () => answer(outcome));
+      const { delayMilliseconds } = this.#faults;
+      const delay = delayMilliseconds === undefined ? 0 : this.#random() * delayMilliseconds;
+      if (delay > 0) this.#starts.addTrouble(this.#now + delay);
+      this.#schedule(1 + this.#random() * 4 + delay, () => answer(outcome));
     });
   }
 
@@ -492,6 +530,7 @@
       },
       onEnd: (run, end, isAtWork) => {
         this.#count(end);
+        this.#starts.addEnd(run.task, end);
         this.#checks.handleEnd(run, end, this.#now, isAtWork);
       },
     });
@@ -521,6 +560,13 @@
       this.#now,
     );
     this.#checks.checkRoom(this.#models, this.#entries);
+    this.#starts.check({
+      now: this.#now,
+      models: this.#models,
+      entries: this.#entries,
+      evacuatedZones: this.#evacuatedZones,
+      getJobState: (id) => this.#owner?.getJobState(id),
+    });
     for (const wave of this.#completedWaves) {
       const changedAt = this.#wavesChangedAt.get(wave)!;
       if (this.#now - changedAt > REOPENING_MILLISECONDS) this.#checkCompleted(wave);
@@ -543,12 +589,14 @@
     this.#checks.handleTaken(runs, this.#now);
     this.#checks.addLost(model.getUnacknowledged());
     this.#models.delete(host.executorId);
+    this.#linger(this.#entries.get(host.executorId)!);
     this.#entries.delete(host.executorId);
     this.#tellExecutors();
   }
 
   /** Ends an executor whose host has left, with all that runs there. */
   #loseExecutor(id: string): void {
+    this.#starts.addTrouble(this.#now);
     this.#endRuns(id);
     this.#models.delete(id);
     this.#entries.delete(id);
@@ -564,6 +612,17 @@
     this.#checks.addLost(model.getUnacknowledged());
   }
 
+  /** Lets the list name an executor that is gone for a while. */
+  #linger(entry: ExecutorEntry): void {
+    const { lingerMilliseconds } = this.#options;
+    if (lingerMilliseconds === undefined) return;
+    this.#lingering.set(entry.id, entry);
+    this.#schedule(this.#random() * lingerMilliseconds, () => {
+      this.#lingering.delete(entry.id);
+      this.#tellExecutors();
+    });
+  }
+
   /** Starts an executor on a host that is back, unless its pool is a spare one. */
   #createExecutor(host: Host): string {
     if (this.#isSpare(host.pool)) return "";
@@ -627,7 +686,8 @@
 
   #getToldEntries(): ExecutorEntry[] {
     const tell = this.#options.lies?.entry ?? ((entry: ExecutorEntry) => entry);
-    return [...this.#entries.values()].map(tell);
+    return [...this.#lingering.values(), ...this.#entries.values()]
+      .filter(({ id }) => !this.#hidden.has(id)).map(tell);
   }
 
   #tellExecutors(): void {
--- a/src/platform/stand_in/world_options.ts
+++ b/src/platform/stand_in/world_options.ts
@@ -21,6 +21,8 @@
   refusedPart?: number;
   /** The part of the journal's appends that are stored and answered late; none unless given. */
   lateAppendPart?: number;
+  /** How much longer answers to orders take, at most, in milliseconds; none if absent. */
+  delayMilliseconds?: number;
 }
 
 /** What the owner is told falsely, so that a check can be seen to fail. */
@@ -71,6 +73,8 @@
   waveDelayMilliseconds?: number;
   /** How the sizes of pools follow their load, where not as usual. */
   capacityTerms?: CapacityTerms;
+  /** For how long an executor that is gone stays listed and answers nothing at most, in milliseconds. */
+  lingerMilliseconds?: number;
   /** Decides how a run goes. */
   planRun?: (task: string) => RunPlan;
   /** Gets how far the time of day of an owner is ahead, by its fence, in milliseconds; 0 unless given. */
