Look up what earlier owners stored of a wave in sets, and keep others' reservations

A take-over searched the stored lists once for each host of a wave, which grows with the square of the wave. A host that goes while it waits for its turn may be reserved for a move, which the wave must not end.

--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -78,6 +78,15 @@
   isCompleted: boolean;
 }
 
+/** What earlier owners stored of a wave. */
+interface EarlierWave {
+  done: ReadonlySet<string>;
+  ordered: ReadonlySet<string>;
+  isCompleted: boolean;
+}
+
+const NO_EARLIER_WAVE: EarlierWave = { done: new Set(), ordered: new Set(), isCompleted: false };
+
 interface WaveProgress {
   wave: MaintenanceWave;
   places: Map<string, Place>;
@@ -105,14 +114,15 @@
 export class Maintenance {
   readonly #options: MaintenanceOptions;
   readonly #waves = new Map<number, WaveProgress>();
-  readonly #before = new Map<number, WaveRecord>();
+  readonly #before = new Map<number, EarlierWave>();
 
   private constructor(options: MaintenanceOptions) {
     this.#options = options;
     for (const [key, value] of options.stored) {
       if (!key.startsWith(WAVE_PREFIX)) continue;
-      const record = decoder.decode(value) as WaveRecord;
-      this.#before.set(Number(key.slice(WAVE_PREFIX.length)), record);
+      const { done, ordered, isCompleted } = decoder.decode(value) as WaveRecord;
+      const before = { done: new Set(done), ordered: new Set(ordered), isCompleted };
+      this.#before.set(Number(key.slice(WAVE_PREFIX.length)), before);
     }
   }
 
@@ -181,25 +191,25 @@
 
   #addWave(wave: MaintenanceWave): void {
     const { state } = this.#options;
-    const before = this.#before.get(wave.number);
+    const before = this.#before.get(wave.number) ?? NO_EARLIER_WAVE;
     this.#waves.set(wave.number, {
       wave,
       places: new Map(wave.hosts.map((name) => [name, this.#createPlace(name, before)])),
       startedAt: state.now,
       listsSince: state.now,
-      isCompleted: before?.isCompleted ?? false,
+      isCompleted: before.isCompleted,
     });
-    state.ports.writeStatus(wave.number, before?.isCompleted ?? false);
+    state.ports.writeStatus(wave.number, before.isCompleted);
   }
 
-  #createPlace(name: string, before: WaveRecord | undefined): Place {
+  #createPlace(name: string, before: EarlierWave): Place {
     return {
       name,
       stage: getFirstStage(name, before),
       since: this.#options.state.now,
       executorId: "",
       retryAt: 0,
-      isOrdered: before?.ordered.includes(name) === true,
+      isOrdered: before.ordered.has(name),
       refusals: 0,
       absentLists: 0,
       absentSince: 0,
@@ -213,7 +223,7 @@
     progress.listsSince = state.now;
     const names = new Set(wave.hosts);
     const added = wave.hosts.filter((name) => !progress.places.has(name));
-    for (const name of added) progress.places.set(name, this.#createPlace(name, undefined));
+    for (const name of added) progress.places.set(name, this.#createPlace(name, NO_EARLIER_WAVE));
     const removed = [...progress.places.values()].filter(({ name, stage, isOrdered }) =>
       !names.has(name) && !(isOrdered && isOpen(stage))
     );
@@ -252,8 +262,9 @@
       if (!isUnderWay || !isLong || place.absentLists < ABSENT_LISTS) continue;
       if (hosts.hasListedExecutor(place.name)) continue;
       state.log("wave-host-gone", this.#describeAbsence(progress, place));
+      // One that waits may be reserved for a move.
+      if (isOpen(place.stage)) hosts.release(place.name);
       this.#setStage(place, Stage.Gone);
-      hosts.release(place.name);
     }
   }
 
@@ -466,10 +477,10 @@
 }
 
 /** Gets how far a host is by what earlier owners stored. */
-function getFirstStage(name: string, before: WaveRecord | undefined): Stage {
-  if (before?.done.includes(name)) return Stage.Done;
+function getFirstStage(name: string, before: EarlierWave): Stage {
+  if (before.done.has(name)) return Stage.Done;
   // What an earlier owner ordered counts against the ceiling, and is ordered again: once done, that
   // has no effect.
-  if (before?.ordered.includes(name)) return Stage.Emptying;
-  return before?.isCompleted ? Stage.Gone : Stage.Waiting;
+  if (before.ordered.has(name)) return Stage.Emptying;
+  return before.isCompleted ? Stage.Gone : Stage.Waiting;
 }
