Tell callers only answers of the owner that are whole

Cause: an answer between two hosts was taken if it had any text as its outcome. Shown without a state, or with one that is none, became a 200 with an empty or unknown state, counted without a number a 200 without one; an outcome that is none had no status. A response without an outcome was dropped, and its call waited to its deadline.

Change: outcomes, states, counts and kinds are checked where they are decoded. An answer that is not whole has a log line, and its caller is told that nobody can tell (504): 503 would say that a submission was not accepted.

No owner of this version sends such answers; what could is one of another version.

--- a/src/front/call_frame.ts
+++ b/src/front/call_frame.ts
@@ -2,7 +2,8 @@
 
 import { Decoder, Encoder } from "cbor-x";
 import { encodeFrame } from "../links/frame.ts";
-import type { Answer, Call } from "./call.ts";
+import { JobState } from "../fleet/job.ts";
+import { type Answer, AnswerOutcome, type Call, CallKind } from "./call.ts";
 
 /** A call on its way to the owner, as the host judged it that the caller reached. */
 export interface ForwardedCall extends Call {
@@ -20,6 +21,15 @@
 /** What comes back: answers, and which process it is that answers. */
 export type OwnerResponse = { number: number; answer: Answer } | { number: 0; process: string };
 
+/** A response as it is read; an answer that can't be read as a whole is undefined. */
+export type ReadResponse =
+  | { number: number; answer: Answer | undefined }
+  | { number: 0; process: string };
+
+const KINDS: ReadonlySet<unknown> = new Set(Object.values(CallKind));
+const OUTCOMES: ReadonlySet<unknown> = new Set(Object.values(AnswerOutcome));
+const STATES: ReadonlySet<unknown> = new Set(Object.values(JobState));
+
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
@@ -33,15 +43,35 @@
   const value = decode(body) as OwnerRequest | undefined;
   if (typeof value?.number !== "number") return undefined;
   if (value.number === 0) return { number: 0 };
-  return "call" in value && typeof value.call?.kind === "string" ? value : undefined;
+  return "call" in value && isCall(value.call) ? value : undefined;
 }
 
 /** Decodes a response, or gets undefined if the body is none. */
-export function decodeOwnerResponse(body: Buffer): OwnerResponse | undefined {
+export function decodeOwnerResponse(body: Buffer): ReadResponse | undefined {
   const value = decode(body) as OwnerResponse | undefined;
   if (typeof value?.number !== "number") return undefined;
   if (value.number === 0) return "process" in value ? value : undefined;
-  return "answer" in value && typeof value.answer?.outcome === "string" ? value : undefined;
+  if (!("answer" in value)) return undefined;
+  return { number: value.number, answer: isAnswer(value.answer) ? value.answer : undefined };
+}
+
+/** Gets whether a call has all that its judgement needs. */
+function isCall(call: Partial<ForwardedCall> | undefined): boolean {
+  return KINDS.has(call?.kind) && typeof call?.version === "number" &&
+    [call.host, call.path, call.jobId, call.queue, call.customer]
+      .every((part) => typeof part === "string");
+}
+
+/** Gets whether an answer has all that its caller is told. */
+function isAnswer(answer: Partial<Answer> | undefined): boolean {
+  switch (answer?.outcome) {
+    case AnswerOutcome.Shown:
+      return STATES.has(answer.state);
+    case AnswerOutcome.Counted:
+      return Number.isSafeInteger(answer.waiting) && answer.waiting! >= 0;
+    default:
+      return OUTCOMES.has(answer?.outcome);
+  }
 }
 
 function decode(body: Buffer): unknown {
--- a/src/front/owner_link_task.ts
+++ b/src/front/owner_link_task.ts
@@ -7,7 +7,7 @@
 import type { SocketAddress } from "../links/socket_address.ts";
 import { formatSocketAddress } from "../links/socket_address.ts";
 import { Task } from "../tasks/mod.ts";
-import type { Answer } from "./call.ts";
+import { type Answer, AnswerOutcome } from "./call.ts";
 import { decodeOwnerResponse, encodeOwnerMessage, type ForwardedCall } from "./call_frame.ts";
 
 /** How often the owner is asked whether it is there, in milliseconds. */
@@ -130,7 +130,7 @@
         if (response === undefined) {
           this.#options.log("owner-answer-unreadable", { step: "decode", peer: this.#peer });
         } else if ("answer" in response) {
-          this.#options.onAnswer(response.number, response.answer);
+          this.#handleAnswer(response.number, response.answer);
         } else if (response.process !== this.#options.process) {
           this.#options.log("owner-process-ended", { peer: this.#peer, process: response.process });
           this.#options.onEnded();
@@ -143,6 +143,13 @@
     }
   }
 
+  #handleAnswer(number: number, answer: Answer | undefined): void {
+    if (answer !== undefined) return this.#options.onAnswer(number, answer);
+    this.#options.log("owner-answer-unreadable", { step: "decode", peer: this.#peer, number });
+    const reason = "the owner's answer can't be read";
+    this.#options.onAnswer(number, { outcome: AnswerOutcome.Uncertain, reason });
+  }
+
   #handleClosed(socket: Socket, code: string | undefined): void {
     if (socket !== this.#socket) return;
     if (this.#isConnected) this.#options.log("owner-link-lost", { peer: this.#peer, reason: code });
