Tell no count of waiting jobs under a claim that is older than a count may be

Cause: an owner told the number of waiting jobs however long ago its claim was confirmed. One that had slept told what it knew before, to calls that waited in its sockets, although the next owner had accepted jobs meanwhile. The jobs interface allows a count to be 2 s old.

Change: from 2 s on the count is unavailable.

Evidence: "an owner that has slept longer..." failed before.

--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -50,6 +50,8 @@
 const STORE_TROUBLE_MILLISECONDS = 1_200;
 /** How long the journal may fail before submissions are refused at once, in milliseconds. */
 const JOURNAL_TROUBLE_MILLISECONDS = 500;
+/** How old a count of what waits may be, in milliseconds: the page of the jobs interface allows 2 s. */
+const OLDEST_COUNT_MILLISECONDS = 2_000;
 /** When callers come back while the store is away, in seconds. */
 const STORE_RETRY_SECONDS = 2;
 
@@ -410,8 +412,8 @@
   }
 
   #setMoment(): void {
-    const { clock, getSteady, getTimeOfDay } = this.#options;
-    const age = clock.getElapsed() - this.#confirmedAt;
+    const { getSteady, getTimeOfDay } = this.#options;
+    const age = this.#getClaimAge();
     const leaseMilliseconds = age < STORE_TROUBLE_MILLISECONDS
       ? LEASE_MILLISECONDS
       : OUTAGE_LEASE_MILLISECONDS - age;
@@ -466,11 +468,7 @@
         return reply({ outcome: AnswerOutcome.Shown, state, basis });
       }
       case CallKind.Waiting:
-        return reply({
-          outcome: AnswerOutcome.Counted,
-          waiting: owner.getWaitingCount(allowed.queue),
-          basis: this.#createBasis(owner.countQueue(allowed.queue)),
-        });
+        return reply(this.#countWaiting(allowed.queue));
     }
     this.#settleSoon();
   }
@@ -511,13 +509,27 @@
   }
 
   #createBasis(counts: JobCounts): AnswerBasis {
-    const claimAge = Math.round(this.#options.clock.getElapsed() - this.#confirmedAt);
+    const claimAge = Math.round(this.#getClaimAge());
     return { ...counts, ownerEpoch: this.#options.epoch, claimAge };
   }
 
+  #countWaiting(queue: string): Answer {
+    if (this.#getClaimAge() >= OLDEST_COUNT_MILLISECONDS) {
+      return createUnavailable("another owner may have accepted jobs");
+    }
+    const waiting = this.#owner!.getWaitingCount(queue);
+    const basis = this.#createBasis(this.#owner!.countQueue(queue));
+    return { outcome: AnswerOutcome.Counted, waiting, basis };
+  }
+
+  /** Gets how long ago no other claim was known to come before this owner's, in milliseconds. */
+  #getClaimAge(): number {
+    return this.#options.clock.getElapsed() - this.#confirmedAt;
+  }
+
   /** Gets what is said of a job that is not known: only an owner that is sure says so. */
   #getUnknown(): Answer {
-    const age = this.#options.clock.getElapsed() - this.#confirmedAt;
+    const age = this.#getClaimAge();
     // From then on another owner may have accepted the job: no fence guards what callers are told.
     if (age < TAKE_OVER_MILLISECONDS) return { outcome: AnswerOutcome.UnknownJob };
     return createUnavailable("the owner is not sure that it still is");
--- a/src/owner/owner_task_test.ts
+++ b/src/owner/owner_task_test.ts
@@ -159,6 +159,17 @@
   t.snapshot(owner.told);
 });
 
+test("an owner that has slept longer than a count may be old tells no count", async (t) => {
+  const owner = await startOwner();
+  for (const age of [1_900, 2_100]) {
+    owner.age(age);
+    owner.call(CallKind.Waiting);
+    await settle();
+  }
+  owner.stop();
+  t.deepEqual(owner.told, ["waiting counted", "waiting unavailable"]);
+});
+
 test("an owner that the journal has fenced passes calls on", async (t) => {
   const owner = await startOwner();
   owner.call(CallKind.Submit, "a1");
