--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -271,7 +271,8 @@
   const pace = PaceControl.create(state);
   const pass = (usage: number, isAnswered: boolean) => {
     serving!.usage = usage;
-    for (let end = state.now + 2_000; state.now < end;) {
+    const end = state.now + 2_000;
+    while (state.now < end) {
       state.now += 100;
       executor.lookedAt = state.now;
       const sent = orders.length;
