--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -37,6 +37,8 @@
 const NOTICE_MILLISECONDS = 4_500;
 /** How long a change of the executors takes until the owner sees it, in milliseconds. */
 const LISTING_MILLISECONDS = 100;
+/** The birth of executors at the begin of time, in milliseconds since 1970; 0 means unknown. */
+const FIRST_BIRTH_MILLISECONDS = 1_000;
 /** How far time goes at a step, in milliseconds: the owner's own. */
 const STEP_MILLISECONDS = 25;
 
@@ -264,7 +266,10 @@
   /** Checks that the owner knows every executor that lives: it can start nothing on the others. */
   checkKnown(): void {
     const known = this.#owner?.getSummary()["executors"] ?? 0;
-    const living = this.#entries.size;
+    // The owner can't know yet of those that have just begun.
+    const listedBefore = this.#now - LISTING_MILLISECONDS - STEP_MILLISECONDS;
+    const living = [...this.#entries.values()]
+      .filter(({ born }) => born < FIRST_BIRTH_MILLISECONDS + listedBefore).length;
     if (known < living) {
       this.#checks.addViolation("LOST", `${living - known} executors are ignored`);
     }
@@ -519,7 +524,7 @@
     const id = `${host.name}-${this.#lives}`;
     const entry: ExecutorEntry = {
       id,
-      born: 1_000 + this.#now,
+      born: FIRST_BIRTH_MILLISECONDS + this.#now,
       service: host.pool,
       address: `${host.name}:80`,
       zone: host.zone,
