--- a/src/platform/stand_in/fleet_world.ts
+++ b/src/platform/stand_in/fleet_world.ts
@@ -41,6 +41,8 @@
 const LISTING_MILLISECONDS = 100;
 /** How long a wave that has got hosts anew may still be shown as completed: a reading of the list and 1 s. */
 const REOPENING_MILLISECONDS = 4_000;
+/** The birth of executors at the begin of time, in milliseconds since 1970; 0 means unknown. */
+const FIRST_BIRTH_MILLISECONDS = 1_000;
 /** How far time goes at a step, in milliseconds: the owner's own. */
 const STEP_MILLISECONDS = 25;
 
@@ -303,6 +305,18 @@
     this.#checks.checkServed((id) => this.#owner?.getJobState(id));
   }
 
+  /** Checks that the owner knows every executor that lives: it can start nothing on the others. */
+  checkKnown(): void {
+    const known = this.#owner?.getSummary()["executors"] ?? 0;
+    // The owner can't know yet of those that have just begun.
+    const listedBefore = this.#now - LISTING_MILLISECONDS - STEP_MILLISECONDS;
+    const living = [...this.#entries.values()]
+      .filter(({ born }) => born < FIRST_BIRTH_MILLISECONDS + listedBefore).length;
+    if (known < living) {
+      this.#checks.addViolation("LOST", `${living - known} executors are ignored`);
+    }
+  }
+
   /** Lets time pass. */
   run(milliseconds: number): void {
     const end = this.#now + milliseconds;
@@ -630,7 +644,7 @@
     const id = `${host.name}-${this.#lives}`;
     const entry: ExecutorEntry = {
       id,
-      born: 1_000 + this.#now,
+      born: FIRST_BIRTH_MILLISECONDS + this.#now,
       service: host.pool,
       address: `${host.name}:80`,
       zone: host.zone,
