--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -1,15 +1,21 @@
 /** Waves of maintenance: empties hosts a few at a time, and has their provider maintain them. */
 
 import type { Executor } from "../fleet/executor.ts";
-import { Decoder, Encoder } from "cbor-x";
 import { HostOrderOutcome } from "../fleet/host.ts";
 import type { MaintenanceWave } from "../fleet/maintenance_wave.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { HostControl } from "./host_control.ts";
 import { ORDER_RECORD_MILLISECONDS } from "./host_order_records.ts";
-import type { JournalEntry, MaintainOrder } from "./owner_ports.ts";
+import type { MaintainOrder } from "./owner_ports.ts";
+import { hasTurn, type WavePlace, type WaveProgress, WaveStage } from "./wave_progress.ts";
+import {
+  createWaveEntry,
+  type EarlierWave,
+  getFirstStage,
+  NO_EARLIER_WAVE,
+  readStoredWaves,
+} from "./wave_records.ts";
 
-const WAVE_PREFIX = "wave/";
 /** How long a host may take beyond its maintenance before it counts as back anyway, in milliseconds. */
 const OVERDUE_MILLISECONDS = 4_000;
 /**
@@ -31,71 +37,6 @@
 /** The part of a wave's time that is planned with. */
 const PLANNED_PART = 0.7;
 
-const encoder = new Encoder({ useRecords: false });
-const decoder = new Decoder({ useRecords: false });
-
-/** How far a host of a wave has come. */
-const Stage = {
-  /** It waits for its turn. */
-  Waiting: "waiting",
-  /** It is being emptied. */
-  Emptying: "emptying",
-  /** That it is ordered is being stored. */
-  Storing: "storing",
-  /** The order is on its way. */
-  Ordered: "ordered",
-  /** It is away. */
-  Away: "away",
-  /** It has begun its maintenance and is back. */
-  Done: "done",
-  /** It has left without its maintenance; it waits for its turn again once it is back. */
-  Gone: "gone",
-} as const;
-type Stage = typeof Stage[keyof typeof Stage];
-
-interface Place {
-  name: string;
-  stage: Stage;
-  since: number;
-  /** The executor that it had when it was ordered. */
-  executorId: string;
-  retryAt: number;
-  /** Whether this owner or an earlier one has ordered it. */
-  isOrdered: boolean;
-  /** How often in a row the provider answered that it can't be maintained for the wave. */
-  refusals: number;
-  /** The lists in a row that lack it, all read since the wave was asked for. */
-  absentLists: number;
-  /** Since when they lack it, on the steady clock. */
-  absentSince: number;
-}
-
-/** What is stored of a wave. */
-interface WaveRecord {
-  done: string[];
-  /** The hosts that were ordered and not seen back: they may be away, or yet be taken away. */
-  ordered: string[];
-  isCompleted: boolean;
-}
-
-/** What earlier owners stored of a wave. */
-interface EarlierWave {
-  done: ReadonlySet<string>;
-  ordered: ReadonlySet<string>;
-  isCompleted: boolean;
-}
-
-const NO_EARLIER_WAVE: EarlierWave = { done: new Set(), ordered: new Set(), isCompleted: false };
-
-interface WaveProgress {
-  wave: MaintenanceWave;
-  places: Map<string, Place>;
-  startedAt: number;
-  /** From when on lists are looked at: one that was read before the wave was asked says nothing. */
-  listsSince: number;
-  isCompleted: boolean;
-}
-
 /** Options of a `Maintenance`. */
 export interface MaintenanceOptions {
   /** The state. */
@@ -114,16 +55,11 @@
 export class Maintenance {
   readonly #options: MaintenanceOptions;
   readonly #waves = new Map<number, WaveProgress>();
-  readonly #before = new Map<number, EarlierWave>();
+  readonly #before: ReadonlyMap<number, EarlierWave>;
 
   private constructor(options: MaintenanceOptions) {
     this.#options = options;
-    for (const [key, value] of options.stored) {
-      if (!key.startsWith(WAVE_PREFIX)) continue;
-      const { done, ordered, isCompleted } = decoder.decode(value) as WaveRecord;
-      const before = { done: new Set(done), ordered: new Set(ordered), isCompleted };
-      this.#before.set(Number(key.slice(WAVE_PREFIX.length)), before);
-    }
+    this.#before = readStoredWaves(options.stored);
   }
 
   /** Creates the decisions from what earlier owners stored. */
@@ -150,7 +86,7 @@
   isDue(host: string): boolean {
     for (const { places } of this.#waves.values()) {
       const place = places.get(host);
-      if (place !== undefined && place.stage !== Stage.Done) return true;
+      if (place !== undefined && place.stage !== WaveStage.Done) return true;
     }
     return false;
   }
@@ -170,15 +106,15 @@
     const { state, hosts } = this.#options;
     const progress = this.#waves.get(order.wave);
     const place = progress?.places.get(order.host);
-    if (progress === undefined || place?.stage !== Stage.Ordered) return;
+    if (progress === undefined || place?.stage !== WaveStage.Ordered) return;
     state.log("maintenance-answered", { host: order.host, wave: order.wave, outcome });
     switch (outcome) {
       case HostOrderOutcome.Done:
         this.#endExecutor(place);
-        return this.#setStage(place, Stage.Away);
+        return this.#setStage(place, WaveStage.Away);
       case HostOrderOutcome.Impossible:
         // That is no maintenance. Whether the host has gone is told by the lists.
-        this.#setStage(place, Stage.Waiting);
+        this.#setStage(place, WaveStage.Waiting);
         place.retryAt = state.now + getRefusalPause(place.refusals);
         place.refusals += 1;
         if (!progress.wave.hosts.includes(order.host)) progress.places.delete(order.host);
@@ -202,7 +138,7 @@
     state.ports.writeStatus(wave.number, before.isCompleted);
   }
 
-  #createPlace(name: string, before: EarlierWave): Place {
+  #createPlace(name: string, before: EarlierWave): WavePlace {
     return {
       name,
       stage: getFirstStage(name, before),
@@ -225,11 +161,11 @@
     const added = wave.hosts.filter((name) => !progress.places.has(name));
     for (const name of added) progress.places.set(name, this.#createPlace(name, NO_EARLIER_WAVE));
     const removed = [...progress.places.values()].filter(({ name, stage, isOrdered }) =>
-      !names.has(name) && !(isOrdered && isOpen(stage))
+      !names.has(name) && !(isOrdered && hasTurn(stage))
     );
     for (const { name, stage } of removed) {
       progress.places.delete(name);
-      if (isOpen(stage)) hosts.release(name);
+      if (hasTurn(stage)) hosts.release(name);
     }
     const { isCompleted } = progress;
     if (added.length === 0 && removed.length === 0) return;
@@ -251,25 +187,25 @@
     for (const place of progress.places.values()) {
       if (hosts.getHosts().has(place.name)) {
         place.absentLists = 0;
-        if (place.stage === Stage.Gone) this.#returnToWave(progress, place);
+        if (place.stage === WaveStage.Gone) this.#returnToWave(progress, place);
         continue;
       }
       if (place.absentLists === 0) place.absentSince = listedAt;
       place.absentLists += 1;
-      const isUnderWay = place.stage === Stage.Waiting || place.stage === Stage.Emptying;
+      const isUnderWay = place.stage === WaveStage.Waiting || place.stage === WaveStage.Emptying;
       // No host that stays is on its way between two pools for longer.
       const isLong = listedAt - place.absentSince >= awayMilliseconds + OVERDUE_MILLISECONDS;
       if (!isUnderWay || !isLong || place.absentLists < ABSENT_LISTS) continue;
       if (hosts.hasListedExecutor(place.name)) continue;
       state.log("wave-host-gone", this.#describeAbsence(progress, place));
       // One that waits may be reserved for a move.
-      if (isOpen(place.stage)) hosts.release(place.name);
-      this.#setStage(place, Stage.Gone);
+      if (hasTurn(place.stage)) hosts.release(place.name);
+      this.#setStage(place, WaveStage.Gone);
     }
   }
 
   /** Lets a host that had gone wait for its maintenance again, even if its wave was completed. */
-  #returnToWave(progress: WaveProgress, place: Place): void {
+  #returnToWave(progress: WaveProgress, place: WavePlace): void {
     const { state } = this.#options;
     state.log("wave-host-returned", {
       host: place.name,
@@ -277,7 +213,7 @@
       gone: Math.round(state.now - place.since),
       isCompleted: progress.isCompleted,
     });
-    this.#setStage(place, Stage.Waiting);
+    this.#setStage(place, WaveStage.Waiting);
     if (progress.isCompleted) this.#reopen(progress);
   }
 
@@ -287,7 +223,7 @@
     progress.isCompleted = false;
     progress.startedAt = state.now;
     state.ports.writeStatus(progress.wave.number, false);
-    state.ports.write([this.#createEntry(progress)], () => {});
+    state.ports.write([createWaveEntry(progress)], () => {});
   }
 
   #advance(progress: WaveProgress): void {
@@ -295,9 +231,11 @@
     let open = 0;
     for (const place of progress.places.values()) {
       this.#advancePlace(progress, place);
-      if (isOpen(place.stage)) open += 1;
+      if (hasTurn(place.stage)) open += 1;
     }
-    const waiting = [...progress.places.values()].filter(({ stage }) => stage === Stage.Waiting);
+    const waiting = [...progress.places.values()].filter(({ stage }) =>
+      stage === WaveStage.Waiting
+    );
     const known = waiting.filter(({ retryAt }) => state.now >= retryAt)
       .map((place) => hosts.getHosts().get(place.name)).filter((host) => host !== undefined);
     for (const host of known) hosts.markDue(host);
@@ -308,7 +246,7 @@
     const width = this.#getWidth(progress, waiting.length + open);
     for (const host of known.slice(0, Math.max(0, width - open))) {
       if (!hosts.isUp(host) || !hosts.reserve(host, "maintenance")) continue;
-      this.#setStage(progress.places.get(host.name)!, Stage.Emptying);
+      this.#setStage(progress.places.get(host.name)!, WaveStage.Emptying);
       state.log("host-emptied", {
         host: host.name,
         wave: progress.wave.number,
@@ -329,11 +267,11 @@
     return Math.max(1, Math.min(wave.ceiling, Math.max(needed, Math.ceil(wave.ceiling / 2))));
   }
 
-  #advancePlace(progress: WaveProgress, place: Place): void {
+  #advancePlace(progress: WaveProgress, place: WavePlace): void {
     const { state, hosts, awayMilliseconds } = this.#options;
     const host = hosts.getHosts().get(place.name);
     switch (place.stage) {
-      case Stage.Emptying:
+      case WaveStage.Emptying:
         if (host === undefined) {
           // One that an earlier owner ordered may be away: it counts against the ceiling.
           if (!place.isOrdered) this.#leaveTurn(progress, place);
@@ -346,12 +284,12 @@
         if (!hosts.isEmpty(host) || !hosts.mayOrder(host.name)) return;
         place.executorId = host.executorId;
         return this.#order(progress, place);
-      case Stage.Storing:
+      case WaveStage.Storing:
         return;
-      case Stage.Ordered:
+      case WaveStage.Ordered:
         if (place.retryAt !== 0 && state.now >= place.retryAt) this.#order(progress, place);
         return;
-      case Stage.Away: {
+      case WaveStage.Away: {
         const isBack = host !== undefined && hosts.isUp(host) &&
           hosts.getListedAt() > place.since + awayMilliseconds / 2 &&
           host.executorId !== "" && state.executors.get(host.executorId)?.isFenced === true;
@@ -363,21 +301,21 @@
   }
 
   /** Stores that a host is ordered, then orders it. */
-  #order(progress: WaveProgress, place: Place): void {
+  #order(progress: WaveProgress, place: WavePlace): void {
     const { state, hosts } = this.#options;
     place.isOrdered = true;
-    this.#setStage(place, Stage.Storing);
-    const entries = [this.#createEntry(progress), hosts.createOrderEntry(place.name)];
+    this.#setStage(place, WaveStage.Storing);
+    const entries = [createWaveEntry(progress), hosts.createOrderEntry(place.name)];
     state.ports.write(entries, () => {
-      if (place.stage !== Stage.Storing) return;
+      if (place.stage !== WaveStage.Storing) return;
       const isLate = state.now - place.since > ORDER_RECORD_MILLISECONDS;
-      this.#setStage(place, Stage.Ordered);
+      this.#setStage(place, WaveStage.Ordered);
       if (isLate) place.retryAt = state.now + RETRY_MILLISECONDS;
       else this.#send(progress, place);
     });
   }
 
-  #send(progress: WaveProgress, place: Place): void {
+  #send(progress: WaveProgress, place: WavePlace): void {
     const { state, hosts } = this.#options;
     place.retryAt = 0;
     const host = hosts.getHosts().get(place.name);
@@ -389,14 +327,14 @@
   }
 
   /** Lets a host that is being emptied wait again, and another one have its turn. */
-  #leaveTurn(progress: WaveProgress, place: Place): void {
+  #leaveTurn(progress: WaveProgress, place: WavePlace): void {
     const { state, hosts } = this.#options;
     state.log("wave-host-absent", this.#describeAbsence(progress, place));
-    this.#setStage(place, Stage.Waiting);
+    this.#setStage(place, WaveStage.Waiting);
     hosts.release(place.name);
   }
 
-  #describeAbsence(progress: WaveProgress, place: Place) {
+  #describeAbsence(progress: WaveProgress, place: WavePlace) {
     const { state, hosts } = this.#options;
     return {
       host: place.name,
@@ -409,7 +347,7 @@
     };
   }
 
-  #finish(progress: WaveProgress, place: Place): void {
+  #finish(progress: WaveProgress, place: WavePlace): void {
     const { state, hosts } = this.#options;
     state.log("host-maintained", {
       host: place.name,
@@ -417,70 +355,44 @@
       away: Math.round(state.now - place.since),
       isListed: hosts.getHosts().has(place.name),
     });
-    this.#setStage(place, Stage.Done);
+    this.#setStage(place, WaveStage.Done);
     hosts.release(place.name);
-    state.ports.write([this.#createEntry(progress)], () => {});
+    state.ports.write([createWaveEntry(progress)], () => {});
   }
 
   #complete(progress: WaveProgress): void {
     const { state } = this.#options;
     progress.isCompleted = true;
     const { number } = progress.wave;
-    state.ports.write([this.#createEntry(progress)], () => {
+    state.ports.write([createWaveEntry(progress)], () => {
       if (progress.isCompleted) state.ports.writeStatus(number, true);
     });
     state.log("wave-completed", {
       wave: number,
-      gone: this.#count(progress, Stage.Gone),
+      gone: this.#count(progress, WaveStage.Gone),
       took: Math.round(state.now - progress.startedAt),
       asked: progress.wave.durationMilliseconds,
     });
   }
 
-  #count(progress: WaveProgress, stage: Stage): number {
+  #count(progress: WaveProgress, stage: WaveStage): number {
     return [...progress.places.values()].filter((place) => place.stage === stage).length;
   }
 
-  #endExecutor(place: Place): void {
+  #endExecutor(place: WavePlace): void {
     const { state, endExecutor } = this.#options;
     const executor = state.executors.get(place.executorId);
     if (executor !== undefined) endExecutor(executor, "its host is maintained");
   }
 
-  #setStage(place: Place, stage: Stage): void {
+  #setStage(place: WavePlace, stage: WaveStage): void {
     place.stage = stage;
     place.since = this.#options.state.now;
     place.retryAt = 0;
   }
-
-  #createEntry(progress: WaveProgress): JournalEntry {
-    const places = [...progress.places.values()];
-    const done = places.filter(({ stage }) => stage === Stage.Done);
-    const ordered = places.filter(({ stage, isOrdered }) => stage !== Stage.Done && isOrdered);
-    const record: WaveRecord = {
-      done: done.map(({ name }) => name),
-      ordered: ordered.map(({ name }) => name),
-      isCompleted: progress.isCompleted,
-    };
-    return { key: WAVE_PREFIX + progress.wave.number, value: encoder.encode(record) };
-  }
 }
 
 /** Gets the pause after a refusal: twice the one before, up to the longest. */
 function getRefusalPause(refusalsBefore: number): number {
   return Math.min(FIRST_REFUSAL_MILLISECONDS * 2 ** refusalsBefore, LONGEST_REFUSAL_MILLISECONDS);
 }
-
-/** Gets whether a host has its turn: it counts against the ceiling. */
-function isOpen(stage: Stage): boolean {
-  return stage !== Stage.Waiting && stage !== Stage.Done && stage !== Stage.Gone;
-}
-
-/** Gets how far a host is by what earlier owners stored. */
-function getFirstStage(name: string, before: EarlierWave): Stage {
-  if (before.done.has(name)) return Stage.Done;
-  // What an earlier owner ordered counts against the ceiling, and is ordered again: once done, that
-  // has no effect.
-  if (before.ordered.has(name)) return Stage.Emptying;
-  return before.isCompleted ? Stage.Gone : Stage.Waiting;
-}
