Keep the executor of a host that was maintained before a new owner ordered it

A host that an earlier owner ordered is ordered again by the next one. Where its maintenance was over by then, the provider answers 200 for what is done already, and the new owner ended the executor that the host had come back with: its life counted as departed, and no task started there any more, for as long as it was listed.

Cause: an answer that says that an order is done was taken for one that has just been carried out. Evidence: the new test starts nothing on the executor without the mend. An order that was given before now ends no executor; the list and the looks tell whether it has gone.

--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -57,7 +57,7 @@
   name: string;
   stage: Stage;
   since: number;
-  /** The executor that it had when it was ordered. */
+  /** The executor that its first order ends; empty where an earlier one may have ended its own. */
   executorId: string;
   retryAt: number;
   /** Whether this owner or an earlier one has ordered it. */
@@ -333,7 +333,8 @@
         hosts.empty(host);
         if (state.now - place.since > PATIENCE_MILLISECONDS) hosts.clear(host);
         if (!hosts.isEmpty(host) || !hosts.mayOrder(host.name)) return;
-        place.executorId = host.executorId;
+        // An order that is done already ends nothing: the executor may have come after it.
+        place.executorId = place.isOrdered ? "" : host.executorId;
         return this.#order(progress, place);
       case Stage.Storing:
         return;
--- /dev/null
+++ b/src/owner/wave_take_over_test.ts
@@ -0,0 +1,92 @@
+import test from "ava";
+import { Configuration } from "../fleet/configuration.ts";
+import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import { type Host, HostOrderOutcome, HostState } from "../fleet/host.ts";
+import type { MaintenanceWave } from "../fleet/maintenance_wave.ts";
+import { createLoneOwner } from "../stand_ins/lone_owner.ts";
+import { createStepSpecification } from "../stand_ins/step_samples.ts";
+
+const CONFIGURATION = Configuration.create({
+  version: 1,
+  queues: [{
+    name: "tugs",
+    host: "h",
+    pathPrefix: "/",
+    service: "tugdesk",
+    priority: 0,
+    attemptLimit: 4,
+    stretch: 1.6,
+    objectiveMilliseconds: 600,
+    isPublic: true,
+  }],
+  services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+  customers: [],
+  largestBodyBytes: 1,
+});
+
+const CAPACITY = { cpu: 8_000, memory: 16_000, accelerators: 0 };
+
+const WAVE: MaintenanceWave = {
+  number: 1,
+  hosts: ["m-1"],
+  ceiling: 1,
+  durationMilliseconds: 20_000,
+};
+
+function createEntry(id: string): ExecutorEntry {
+  return {
+    id,
+    born: 1,
+    service: "tugdesk",
+    address: "10.0.0.1:80",
+    zone: "zl-a",
+    host: "m-1",
+    labels: [],
+    capacity: CAPACITY,
+    isDraining: false,
+  };
+}
+
+function createHost(executorId: string): Host {
+  return {
+    name: "m-1",
+    pool: "tugdesk",
+    state: HostState.Up,
+    zone: "zl-a",
+    capacity: CAPACITY,
+    executorId,
+  };
+}
+
+/** Lets an owner order the maintenance of the only host of a wave. */
+function orderMaintenance(executor: ExecutorEntry, stored: [string, Uint8Array][]) {
+  const lone = createLoneOwner({ configuration: CONFIGURATION, executors: [executor], stored });
+  const requests = { evacuatedZones: new Set<string>(), waves: new Map([[1, WAVE]]) };
+  lone.advance(() => lone.owner.setRequests(requests));
+  lone.answerEmpty(executor);
+  lone.advance(() => lone.owner.setHosts([createHost(executor.id)], 50));
+  for (let step = 0; step < 4; step += 1) lone.advance();
+  return lone;
+}
+
+test("a new owner uses the executor of a host that was maintained before it was ordered again", (t) => {
+  const before = orderMaintenance(createEntry("i-1"), []);
+  const executor = createEntry("i-9");
+  const { owner, starts, advance, answerEmpty } = orderMaintenance(executor, [...before.journal]);
+  advance(() =>
+    owner.handleMaintainAnswer({ host: "m-1", wave: 1, fence: 1 }, HostOrderOutcome.Done)
+  );
+  const specification = {
+    text: "",
+    steps: [createStepSpecification()],
+    repeats: 0,
+    firstAt: 0,
+    intervalMilliseconds: 0,
+  };
+  owner.submit({ id: "j", queue: "tugs", customer: "", specification }, () => {});
+  for (let step = 0; step < 200; step += 1) {
+    advance(() => owner.setExecutors([executor]));
+    if (starts.length === 0) answerEmpty(executor);
+  }
+  t.deepEqual(starts.slice(0, 1).map((order) => order.executor.id), ["i-9"]);
+});
