Call a wave completed anew only by what its hosts' lists say

A new owner took a stored completion for one of the wave as it is asked for now. Callers saw completed while a host that stays had not begun its maintenance: where the wave's later record came in while nobody owned the fleet, or where a host that had left was back.

Cause: the record said neither which hosts it was about nor which had left, so every host that was not done counted as gone, and the status was written before any list was read. Evidence: with the record as it was the new test shows MIXED in these two cases; with only the status mended it shows MIXED where one list leaves out the host that the wave has got. The record now names the hosts that have left, each other one waits, and a wave is completed only after a list that was read since it was asked for or changed.

--- a/src/owner/fleet_hosts_test.ts
+++ b/src/owner/fleet_hosts_test.ts
@@ -357,6 +357,30 @@
   t.snapshot(Object.entries(cases).map(([name, after]) => [name, playWave({ after })]));
 });
 
+test("a new owner calls no wave completed whose hosts have changed since it was", (t) => {
+  const complete = (world: FleetWorld) => {
+    world.removeHost("spare-1");
+    world.run(15_000);
+    t.true(world.isCompleted(1));
+  };
+  const cases: Record<string, (world: FleetWorld) => void> = {
+    "its later record has more hosts": (world) =>
+      world.askWave({ ...WAVE, hosts: [...SOME_HOSTS, ...OTHER_HOSTS] }),
+    "one list leaves out a host that it has got": (world) => {
+      world.askWave({ ...WAVE, hosts: [...SOME_HOSTS, "spare-2"] });
+      world.hideHost("spare-2", 350);
+    },
+    "a host that had left is back": (world) =>
+      world.addHost(HOSTS.find(({ name }) => name === "spare-1")!),
+    "nothing has changed": () => {},
+  };
+  const played = Object.entries(cases).map(([name, change]) => {
+    const after = (world: FleetWorld) => (complete(world), change(world), world.replaceOwner());
+    return [name, playWave({ after })];
+  });
+  t.snapshot(played);
+});
+
 test("a new owner gives a queue that waits more hosts at once", (t) => {
   const world = FleetWorld.create({
     seed: 3,
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -75,6 +75,8 @@
   done: string[];
   /** The hosts that were ordered and not seen back: they may be away, or yet be taken away. */
   ordered: string[];
+  /** The hosts that had left; records of earlier versions do not tell. */
+  gone?: string[];
   isCompleted: boolean;
 }
 
@@ -84,6 +86,8 @@
   startedAt: number;
   /** From when on lists are looked at: one that was read before the wave was asked says nothing. */
   listsSince: number;
+  /** Whether such a list was looked at. */
+  hasList: boolean;
   isCompleted: boolean;
 }
 
@@ -182,14 +186,16 @@
   #addWave(wave: MaintenanceWave): void {
     const { state } = this.#options;
     const before = this.#before.get(wave.number);
+    const isCompleted = isCompletedBy(wave, before);
     this.#waves.set(wave.number, {
       wave,
       places: new Map(wave.hosts.map((name) => [name, this.#createPlace(name, before)])),
       startedAt: state.now,
       listsSince: state.now,
-      isCompleted: before?.isCompleted ?? false,
+      hasList: false,
+      isCompleted,
     });
-    state.ports.writeStatus(wave.number, before?.isCompleted ?? false);
+    state.ports.writeStatus(wave.number, isCompleted);
   }
 
   #createPlace(name: string, before: WaveRecord | undefined): Place {
@@ -211,6 +217,7 @@
     const { state, hosts } = this.#options;
     progress.wave = wave;
     progress.listsSince = state.now;
+    progress.hasList = false;
     const names = new Set(wave.hosts);
     const added = wave.hosts.filter((name) => !progress.places.has(name));
     for (const name of added) progress.places.set(name, this.#createPlace(name, undefined));
@@ -238,6 +245,7 @@
     const { state, hosts, awayMilliseconds } = this.#options;
     const listedAt = hosts.getListedAt();
     progress.listsSince = listedAt;
+    progress.hasList = true;
     for (const place of progress.places.values()) {
       if (hosts.getHosts().has(place.name)) {
         place.absentLists = 0;
@@ -304,7 +312,7 @@
         burden: hosts.getBurden(host),
       });
     }
-    if (open === 0 && waiting.length === 0) this.#complete(progress);
+    if (progress.hasList && open === 0 && waiting.length === 0) this.#complete(progress);
   }
 
   /** Gets how many hosts are worked on at once: half the ceiling, or as many as the time demands. */
@@ -447,9 +455,11 @@
     const places = [...progress.places.values()];
     const done = places.filter(({ stage }) => stage === Stage.Done);
     const ordered = places.filter(({ stage, isOrdered }) => stage !== Stage.Done && isOrdered);
+    const gone = places.filter(({ stage }) => stage === Stage.Gone);
     const record: WaveRecord = {
       done: done.map(({ name }) => name),
       ordered: ordered.map(({ name }) => name),
+      gone: gone.map(({ name }) => name),
       isCompleted: progress.isCompleted,
     };
     return { key: WAVE_PREFIX + progress.wave.number, value: encoder.encode(record) };
@@ -466,11 +476,18 @@
   return stage !== Stage.Waiting && stage !== Stage.Done && stage !== Stage.Gone;
 }
 
+/** Gets whether each host of a wave is done by what earlier owners stored; others may be back. */
+function isCompletedBy(wave: MaintenanceWave, before: WaveRecord | undefined): boolean {
+  if (before?.isCompleted !== true) return false;
+  const done = new Set(before.done);
+  return wave.hosts.every((name) => done.has(name));
+}
+
 /** Gets how far a host is by what earlier owners stored. */
 function getFirstStage(name: string, before: WaveRecord | undefined): Stage {
   if (before?.done.includes(name)) return Stage.Done;
   // What an earlier owner ordered counts against the ceiling, and is ordered again: once done, that
   // has no effect.
   if (before?.ordered.includes(name)) return Stage.Emptying;
-  return before?.isCompleted ? Stage.Gone : Stage.Waiting;
+  return before?.gone?.includes(name) ? Stage.Gone : Stage.Waiting;
 }
