Keep a host closed while an order for it is out, whichever executor is listed there

A host was closed while it was emptied and not again after its order was sent. An executor whose entry the list lost for a moment, or that was born again, came back open, and tasks started there while the order could still be carried out, which ends them. With tasks there a repeated order of a wave is never sent, so that the wave could stand still for as long as the host was busy.

Cause: a host that was closed once was taken as closed, though the executor there is another object since it is used again when it is listed anew, or another life. Evidence: the two new tests see a start, one on a host of a wave whose order was not answered, the other on a host whose move was not; with the mend neither does.

--- a/src/owner/capacity.ts
+++ b/src/owner/capacity.ts
@@ -130,8 +130,13 @@
         if (age > EMPTYING_MILLISECONDS) this.#end(transfer);
         return;
       case Stage.Ordered:
-        if (host.pool === transfer.to) transfer.stage = Stage.Moving;
-        else if (age > LATE_ORDER_MILLISECONDS) this.#end(transfer);
+        if (host.pool === transfer.to) {
+          transfer.stage = Stage.Moving;
+          return;
+        }
+        // Its executor may be listed anew meanwhile, and the order be carried out late.
+        hosts.empty(host);
+        if (age > LATE_ORDER_MILLISECONDS) this.#end(transfer);
         return;
       case Stage.Moving: {
         const hasArrived = host.pool === transfer.to && hosts.isUp(host) &&
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -345,8 +345,11 @@
         place.executorId = place.isOrdered ? "" : host.executorId;
         return this.#order(progress, place);
       case Stage.Storing:
+        if (host !== undefined) hosts.empty(host);
         return;
       case Stage.Ordered:
+        // Its executor may be listed anew meanwhile, and the order be carried out late.
+        if (host !== undefined) hosts.empty(host);
         if (place.retryAt !== 0 && state.now >= place.retryAt) this.#order(progress, place);
         return;
       case Stage.Away: {
--- a/src/owner/wave_take_over_test.ts
+++ b/src/owner/wave_take_over_test.ts
@@ -19,7 +19,10 @@
     objectiveMilliseconds: 600,
     isPublic: true,
   }],
-  services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+  services: [
+    { name: "tugdesk", isGuarded: false, isSpare: false },
+    { name: "spare", isGuarded: false, isSpare: true },
+  ],
   customers: [],
   largestBodyBytes: 1,
 });
@@ -33,6 +36,19 @@
   durationMilliseconds: 20_000,
 };
 
+const SUBMISSION = {
+  id: "j",
+  queue: "tugs",
+  customer: "",
+  specification: {
+    text: "",
+    steps: [createStepSpecification()],
+    repeats: 0,
+    firstAt: 0,
+    intervalMilliseconds: 0,
+  },
+};
+
 function createEntry(id: string): ExecutorEntry {
   return {
     id,
@@ -76,17 +92,48 @@
   advance(() =>
     owner.handleMaintainAnswer({ host: "m-1", wave: 1, fence: 1 }, HostOrderOutcome.Done)
   );
-  const specification = {
-    text: "",
-    steps: [createStepSpecification()],
-    repeats: 0,
-    firstAt: 0,
-    intervalMilliseconds: 0,
-  };
-  owner.submit({ id: "j", queue: "tugs", customer: "", specification }, () => {});
+  owner.submit(SUBMISSION, () => {});
   for (let step = 0; step < 200; step += 1) {
     advance(() => owner.setExecutors([executor]));
     if (starts.length === 0) answerEmpty(executor);
   }
   t.deepEqual(starts.slice(0, 1).map((order) => order.executor.id), ["i-9"]);
 });
+
+test("nothing starts on a host that is ordered and whose executor is listed anew", (t) => {
+  const executor = createEntry("i-1");
+  const { owner, starts, advance, answerEmpty } = orderMaintenance(executor, []);
+  const order = { host: "m-1", wave: 1, fence: 1 };
+  advance(() => owner.handleMaintainAnswer(order, HostOrderOutcome.Unanswered));
+  owner.submit(SUBMISSION, () => {});
+  advance(() => owner.setExecutors([]));
+  advance(() => owner.setExecutors([executor]));
+  answerEmpty(executor);
+  for (let step = 0; step < 10; step += 1) advance();
+  t.deepEqual(starts.map(({ task }) => task), []);
+});
+
+test("nothing starts on a host whose move was not answered and whose executor is listed anew", (t) => {
+  const executors = [1, 2, 3].map((number) => ({
+    ...createEntry(`i-${number}`),
+    host: `m-${number}`,
+  }));
+  const { owner, starts, moves, advance, answerEmpty } = createLoneOwner({
+    configuration: CONFIGURATION,
+    executors,
+  });
+  for (const executor of executors) answerEmpty(executor);
+  const hosts = executors.map(({ id, host }) => ({ ...createHost(id), name: host }));
+  advance(() => owner.setHosts(hosts, 50));
+  for (let step = 0; step < 200 && moves.length === 0; step += 1) advance();
+  const [move] = moves;
+  t.is(move?.pool, "spare");
+  const moved = executors.find(({ host }) => host === move!.host)!;
+  advance(() => owner.handleMoveAnswer(move!, HostOrderOutcome.Unanswered));
+  owner.submit(SUBMISSION, () => {});
+  advance(() => owner.setExecutors([]));
+  advance(() => owner.setExecutors([moved]));
+  answerEmpty(moved);
+  for (let step = 0; step < 10; step += 1) advance();
+  t.deepEqual(starts.map(({ task, executor }) => [task, executor.id]), []);
+});
--- a/src/stand_ins/lone_owner.ts
+++ b/src/stand_ins/lone_owner.ts
@@ -5,7 +5,7 @@
 import type { Job } from "../fleet/job.ts";
 import { FleetOwner } from "../owner/fleet_owner.ts";
 import { EarlierHostOrders } from "../owner/host_order_records.ts";
-import { OrderOutcome, type OwnerPorts, type StartOrder } from "../owner/owner_ports.ts";
+import { type MoveOrder, OrderOutcome, type OwnerPorts, type StartOrder } from "../owner/owner_ports.ts";
 import { CAPACITY_TERMS } from "../owner/pool_need.ts";
 
 /** How far time goes at a step, in milliseconds: the owner's own. */
@@ -31,6 +31,8 @@
   owner: FleetOwner;
   /** The starts. */
   starts: readonly StartOrder[];
+  /** The moves of hosts. */
+  moves: readonly MoveOrder[];
   /** The steps that the adviser was asked for. */
   asked: readonly string[];
   /** What is stored, by key. */
@@ -45,6 +47,7 @@
 export function createLoneOwner(options: LoneOwnerOptions): LoneOwner {
   const ignore = () => {};
   const starts: StartOrder[] = [];
+  const moves: MoveOrder[] = [];
   const asked: string[] = [];
   const journal = new Map(options.stored);
   let callbacks: (() => void)[] = [];
@@ -56,7 +59,7 @@
     askAdvice: (step) => asked.push(step),
     listHosts: ignore,
     maintain: ignore,
-    move: ignore,
+    move: (order) => moves.push(order),
     writeStatus: ignore,
     write: (entries, onStored) => {
       for (const { key, value } of entries) {
@@ -115,5 +118,5 @@
     const report = { born, executorTime: now, running: [], ended: [] };
     advance(() => owner.handleLookAnswer(id, now, { outcome: OrderOutcome.Done, report }));
   };
-  return { owner, starts, asked, journal, advance, answerEmpty };
+  return { owner, starts, moves, asked, journal, advance, answerEmpty };
 }
