--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -12,6 +12,7 @@
   createWaveEntry,
   type EarlierWave,
   getFirstStage,
+  isCompletedBy,
   NO_EARLIER_WAVE,
   readStoredWaves,
 } from "./wave_records.ts";
@@ -128,14 +129,16 @@
   #addWave(wave: MaintenanceWave): void {
     const { state } = this.#options;
     const before = this.#before.get(wave.number) ?? NO_EARLIER_WAVE;
+    const isCompleted = isCompletedBy(wave, before);
     this.#waves.set(wave.number, {
       wave,
       places: new Map(wave.hosts.map((name) => [name, this.#createPlace(name, before)])),
       startedAt: state.now,
       listsSince: state.now,
-      isCompleted: before.isCompleted,
+      hasList: false,
+      isCompleted,
     });
-    state.ports.writeStatus(wave.number, before.isCompleted);
+    state.ports.writeStatus(wave.number, isCompleted);
   }
 
   #createPlace(name: string, before: EarlierWave): WavePlace {
@@ -157,6 +160,7 @@
     const { state, hosts } = this.#options;
     progress.wave = wave;
     progress.listsSince = state.now;
+    progress.hasList = false;
     const names = new Set(wave.hosts);
     const added = wave.hosts.filter((name) => !progress.places.has(name));
     for (const name of added) progress.places.set(name, this.#createPlace(name, NO_EARLIER_WAVE));
@@ -184,6 +188,7 @@
     const { state, hosts, awayMilliseconds } = this.#options;
     const listedAt = hosts.getListedAt();
     progress.listsSince = listedAt;
+    progress.hasList = true;
     for (const place of progress.places.values()) {
       if (hosts.getHosts().has(place.name)) {
         place.absentLists = 0;
@@ -253,7 +258,7 @@
         burden: hosts.getBurden(host),
       });
     }
-    if (open === 0 && waiting.length === 0) this.#complete(progress);
+    if (progress.hasList && open === 0 && waiting.length === 0) this.#complete(progress);
   }
 
   /** Gets how many hosts are worked on at once: half the ceiling, or as many as the time demands. */
@@ -282,11 +287,15 @@
         hosts.empty(host);
         if (state.now - place.since > PATIENCE_MILLISECONDS) hosts.clear(host);
         if (!hosts.isEmpty(host) || !hosts.mayOrder(host.name)) return;
-        place.executorId = host.executorId;
+        // An order that is done already ends nothing: the executor may have come after it.
+        place.executorId = place.isOrdered ? "" : host.executorId;
         return this.#order(progress, place);
       case WaveStage.Storing:
+        if (host !== undefined) hosts.empty(host);
         return;
       case WaveStage.Ordered:
+        // Its executor may be listed anew meanwhile, and the order be carried out late.
+        if (host !== undefined) hosts.empty(host);
         if (place.retryAt !== 0 && state.now >= place.retryAt) this.#order(progress, place);
         return;
       case WaveStage.Away: {
--- a/src/owner/wave_progress.ts
+++ b/src/owner/wave_progress.ts
@@ -29,7 +29,7 @@
   stage: WaveStage;
   /** Since when it has come that far, on the steady clock. */
   since: number;
-  /** The executor that it had when it was ordered. */
+  /** The executor that its first order ends; empty where an earlier one may have ended its own. */
   executorId: string;
   /** When its order may be sent again, on the steady clock; 0 if none is to be. */
   retryAt: number;
@@ -53,6 +53,8 @@
   startedAt: number;
   /** From when on lists are looked at: one that was read before the wave was asked says nothing. */
   listsSince: number;
+  /** Whether such a list was looked at. */
+  hasList: boolean;
   /** Whether operators are told that it is completed. */
   isCompleted: boolean;
 }
