Raise an adopted filler from half its speed, not from all of it

Found by the review: a new owner ordered full speed at once for a filler that the earlier one may have slowed, so that serving tasks could be over their target before halving caught up. It is raised from half, step by step.

--- a/src/owner/look_control.ts
+++ b/src/owner/look_control.ts
@@ -16,6 +16,8 @@
 const LOOK_PAUSE_MILLISECONDS = 25;
 /** The pause after a look that failed, in milliseconds. */
 const FAILED_LOOK_PAUSE_MILLISECONDS = 200;
+/** The pace from which an adopted filler is raised, in percent: an earlier owner may have slowed it. */
+const ADOPTED_PACE_PERCENT = 50;
 /** How long past its deadline an unanswered start counts as possible, in milliseconds. */
 const DOUBT_MARGIN_MILLISECONDS = 50;
 
@@ -199,7 +201,7 @@
       startDeadline: 0,
       percent: row.percent,
       progressedAt: state.now,
-      pace: 100,
+      pace: ADOPTED_PACE_PERCENT,
       isPaceKnown: false,
       pacedAt: 0,
       usage: row.usage,
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -264,7 +264,7 @@
     acceptedAt: 0,
   });
   const [serving] = job.addOccurrence(0, TaskState.Waiting).map(({ tasks }) => {
-    const run = { ...createRun(tasks[0]!.name), isPaceKnown: false };
+    const run = { ...createRun(tasks[0]!.name), pace: 50, isPaceKnown: false };
     state.addRun(executor, { task: tasks[0]!, run });
     return run;
   });
