Set the moment before operators' requests are taken over; order host_control, drop dead code

A wave's begin was dated by the last tick, up to 25 ms before. Fields and the constant of host_control stand where readers look for them; Capacity.isActive had no caller.

--- a/src/owner/capacity.ts
+++ b/src/owner/capacity.ts
@@ -83,11 +83,6 @@
     return new Capacity(options);
   }
 
-  /** Gets whether hosts are on their way. */
-  isActive(): boolean {
-    return this.#transfers.size > 0;
-  }
-
   /** Takes the next steps. */
   tick(): void {
     const { state, hosts } = this.#options;
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -8,6 +8,9 @@
 import type { JournalEntry } from "./owner_ports.ts";
 import type { RunControl } from "./run_control.ts";
 
+/** How many short runs a lasting one counts for when hosts are chosen to be emptied. */
+const LASTING_BURDEN = 10;
+
 /** Options of a `HostControl`. */
 export interface HostControlOptions {
   /** The state. */
@@ -24,14 +27,13 @@
 export class HostControl {
   readonly #state: FleetState;
   readonly #runs: RunControl;
+  readonly #earlierOrders: EarlierHostOrders;
+  readonly #doubtUntil: number;
   #hosts = new Map<string, Host>();
   #listedAt = -Infinity;
   /** The hosts that a planned action has for itself, with what it is. */
   readonly #reserved = new Map<string, string>();
 
-  readonly #earlierOrders: EarlierHostOrders;
-  readonly #doubtUntil: number;
-
   private constructor(options: HostControlOptions) {
     this.#state = options.state;
     this.#runs = options.runs;
@@ -211,6 +213,3 @@
     return executor.isFenced || !mayBeUsed || this.#state.now >= this.#doubtUntil;
   }
 }
-
-/** How many short runs a lasting one counts for when hosts are chosen to be emptied. */
-const LASTING_BURDEN = 10;
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -180,6 +180,7 @@
       case "configuration":
         this.#configuration = message.configuration;
         this.#requests = message.requests;
+        this.#setMoment();
         this.#owner?.setConfiguration(message.configuration);
         this.#owner?.setRequests(message.requests);
         this.#tryStart();
