--- a/src/owner/advice_test.ts
+++ b/src/owner/advice_test.ts
@@ -4,32 +4,17 @@
 import { createLoneOwner } from "../stand_ins/lone_owner.ts";
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
 import { OrderOutcome } from "./owner_ports.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_samples.ts";
 
-const EXECUTOR: ExecutorEntry = {
-  id: "i-1",
-  born: 1,
-  service: "tugdesk",
-  address: "10.0.0.1:80",
-  zone: "zl-a",
-  labels: [],
-  capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
-  isDraining: false,
-};
+const EXECUTOR: ExecutorEntry = createListedExecutor();
 
 const CONFIGURATION = Configuration.create({
   version: 1,
-  queues: [{
-    name: "tugs",
-    host: "h",
-    pathPrefix: "/",
-    service: "tugdesk",
-    priority: 0,
-    attemptLimit: 4,
-    stretch: 1.6,
-    objectiveMilliseconds: 600,
-    isPublic: true,
-    advice: { decideMilliseconds: 1, eachMilliseconds: 1, validMilliseconds: 9_000 },
-  }],
+  queues: [
+    createQueue({
+      advice: { decideMilliseconds: 1, eachMilliseconds: 1, validMilliseconds: 9_000 },
+    }),
+  ],
   services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
   customers: [],
   largestBodyBytes: 1,
--- a/src/owner/calm_stretch_test.ts
+++ b/src/owner/calm_stretch_test.ts
@@ -7,6 +7,7 @@
 import { getRunOptions } from "../tests/run_options.ts";
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
 import type { WorldFaults, WorldLies } from "../platform/stand_in/world_options.ts";
+import { createQueue } from "../stand_ins/fleet_samples.ts";
 
 const NO_FAULTS: WorldFaults = { lostPart: 0, latePart: 0, failingPart: 0 };
 const SERVICES = ["tugdesk", "berthbook"];
@@ -19,17 +20,9 @@
 
 const CONFIGURATION: ConfigurationData = {
   version: 1,
-  queues: SERVICES.map((service) => ({
-    name: service,
-    host: `${service}.example`,
-    pathPrefix: "/",
-    service,
-    priority: 0,
-    attemptLimit: 3,
-    stretch: 1.6,
-    objectiveMilliseconds: 600,
-    isPublic: true,
-  })),
+  queues: SERVICES.map((service) =>
+    createQueue({ name: service, host: `${service}.example`, service, attemptLimit: 3 })
+  ),
   services: [
     ...SERVICES.map((name) => ({ name, isGuarded: false, isSpare: false })),
     { name: "spare", isGuarded: false, isSpare: true },
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -10,22 +10,22 @@
 import { getRunOptions } from "../tests/run_options.ts";
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
 import type { WorldFaults, WorldLies } from "../platform/stand_in/world_options.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_samples.ts";
 
 const NO_FAULTS: WorldFaults = { lostPart: 0, latePart: 0, failingPart: 0 };
 
 const CONFIGURATION: ConfigurationData = {
   version: 1,
-  queues: [{
-    name: "berths",
-    host: "berths.example",
-    pathPrefix: "/berths/",
-    service: "berthbook",
-    priority: 0,
-    attemptLimit: 2,
-    stretch: 1.6,
-    objectiveMilliseconds: 600,
-    isPublic: false,
-  }],
+  queues: [
+    createQueue({
+      name: "berths",
+      host: "berths.example",
+      pathPrefix: "/berths/",
+      service: "berthbook",
+      attemptLimit: 2,
+      isPublic: false,
+    }),
+  ],
   services: [{ name: "berthbook", isGuarded: false, isSpare: false }],
   customers: [
     { name: "mine", keys: ["k1"], weight: 50, ceiling: { cpu: 9_000, memory: 0, accelerators: 0 } },
@@ -34,16 +34,16 @@
   largestBodyBytes: 10_000,
 };
 
-const EXECUTORS: ExecutorEntry[] = [0, 1, 2, 3].map((number) => ({
-  id: `i-${number}`,
-  born: 1_000,
-  service: "berthbook",
-  address: `10.0.0.${number + 1}:80`,
-  zone: number < 2 ? "zl-a" : "zl-b",
-  labels: [number % 2 === 0 ? "a" : "b", "r1"],
-  capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
-  isDraining: false,
-}));
+const EXECUTORS: ExecutorEntry[] = [0, 1, 2, 3].map((number) =>
+  createListedExecutor({
+    id: `i-${number}`,
+    born: 1_000,
+    service: "berthbook",
+    address: `10.0.0.${number + 1}:80`,
+    zone: number < 2 ? "zl-a" : "zl-b",
+    labels: [number % 2 === 0 ? "a" : "b", "r1"],
+  })
+);
 
 function createStep(parts: Partial<StepSpecification>): StepSpecification {
   return createStepSpecification({
--- a/src/owner/host_order_records_test.ts
+++ b/src/owner/host_order_records_test.ts
@@ -2,6 +2,7 @@
 import { Executor } from "../fleet/executor.ts";
 import type { Claim } from "../ownership/ownership_ports.ts";
 import { createHostOrderEntry, EarlierHostOrders } from "./host_order_records.ts";
+import { createListedExecutor } from "../stand_ins/fleet_samples.ts";
 
 const PREVIOUS: Claim = {
   epoch: 4,
@@ -22,17 +23,15 @@
 
 /** Creates an executor whose clock is read at 0. */
 function createExecutor(id: string, executorTime: number, host = ""): Executor {
-  const executor = Executor.create({
-    id,
-    born: 1_000,
-    service: "tugdesk",
-    address: "10.0.0.9:80",
-    zone: "zl-a",
-    labels: [],
-    capacity: { cpu: 1_000, memory: 1_000, accelerators: 0 },
-    isDraining: false,
-    host,
-  });
+  const executor = Executor.create(
+    createListedExecutor({
+      id,
+      born: 1_000,
+      address: "10.0.0.9:80",
+      capacity: { cpu: 1_000, memory: 1_000, accelerators: 0 },
+      host,
+    }),
+  );
   executor.isFenced = true;
   executor.readClock({ executorTime, receivedAt: 0 });
   return executor;
--- a/src/owner/host_orders_test.ts
+++ b/src/owner/host_orders_test.ts
@@ -5,20 +5,11 @@
 import type { MaintenanceWave } from "../fleet/maintenance_wave.ts";
 import { createLoneOwner } from "../stand_ins/lone_owner.ts";
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_samples.ts";
 
 const CONFIGURATION = Configuration.create({
   version: 1,
-  queues: [{
-    name: "tugs",
-    host: "h",
-    pathPrefix: "/",
-    service: "tugdesk",
-    priority: 0,
-    attemptLimit: 4,
-    stretch: 1.6,
-    objectiveMilliseconds: 600,
-    isPublic: true,
-  }],
+  queues: [createQueue()],
   services: [
     { name: "tugdesk", isGuarded: false, isSpare: false },
     { name: "spare", isGuarded: false, isSpare: true },
@@ -50,17 +41,7 @@
 };
 
 function createEntry(id: string): ExecutorEntry {
-  return {
-    id,
-    born: 1,
-    service: "tugdesk",
-    address: "10.0.0.1:80",
-    zone: "zl-a",
-    host: "m-1",
-    labels: [],
-    capacity: CAPACITY,
-    isDraining: false,
-  };
+  return createListedExecutor({ id, host: "m-1", capacity: CAPACITY });
 }
 
 function createHost(executorId: string): Host {
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -18,6 +18,7 @@
 import { getNextPace, PaceControl } from "./pace_control.ts";
 import { getHostsNeeded, type PoolLoad } from "./pool_need.ts";
 import { ShareMeter } from "./share_meter.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_samples.ts";
 
 const STEP = createStepSpecification({ demand: { cpu: 1_000, memory: 100, accelerators: 0 } });
 
@@ -63,17 +64,7 @@
   const state = FleetState.create({ fence, limits, ports, log: ignore, startedAt: 0 });
   state.setConfiguration(Configuration.create({
     version: 1,
-    queues: [{
-      name: "tugs",
-      host: "h",
-      pathPrefix: "/",
-      service: "tugdesk",
-      priority: 0,
-      attemptLimit: 4,
-      stretch: 1.6,
-      objectiveMilliseconds: 600,
-      isPublic: true,
-    }],
+    queues: [createQueue()],
     services: [],
     customers: [],
     largestBodyBytes: 1,
@@ -212,16 +203,7 @@
     const specification = { ...createStep("x", 0).job.specification, steps: [lasting] };
     const job = Job.create({ id: "j", queue: "tugs", customer: "", specification, acceptedAt: 0 });
     const step = job.addOccurrence(0, TaskState.Unknown)[0]!;
-    const executor = Executor.create({
-      id: "i-1",
-      born: 1,
-      service: "tugdesk",
-      address: "10.0.0.1:80",
-      zone: "zl-a",
-      labels: [],
-      capacity: STEP.demand,
-      isDraining: false,
-    });
+    const executor = Executor.create(createListedExecutor({ capacity: STEP.demand }));
     state.executors.set(executor.id, executor);
     for (const task of step.tasks) state.addRun(executor, { task, run: createRun(task.name) });
     return [100, 1_500, 2_500].map((now) => {
@@ -243,16 +225,7 @@
 test("an order on a filler's pace is repeated until it is answered, and under strain", (t) => {
   const orders: (PaceOrder & { at: number })[] = [];
   const state = createState(1, { pace: (order) => orders.push({ ...order, at: state.now }) });
-  const executor = Executor.create({
-    id: "i-1",
-    born: 1,
-    service: "tugdesk",
-    address: "10.0.0.1:80",
-    zone: "zl-a",
-    labels: [],
-    capacity: STEP.demand,
-    isDraining: false,
-  });
+  const executor = Executor.create(createListedExecutor({ capacity: STEP.demand }));
   state.executors.set(executor.id, executor);
   const specifications = [{ tailMilliseconds: 100 }, { isFiller: true }];
   const steps = specifications.map((parts) => createStepSpecification(parts));
--- a/src/owner/owner_task_test.ts
+++ b/src/owner/owner_task_test.ts
@@ -7,20 +7,19 @@
 import { ElapsedClock } from "../tasks/mod.ts";
 import { OrderOutcome } from "./owner_ports.ts";
 import { OwnerTask } from "./owner_task.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_samples.ts";
 
 const CONFIGURATION = Configuration.create({
   version: 1,
-  queues: [{
-    name: "berths",
-    host: "berths.example",
-    pathPrefix: "/berths/",
-    service: "berthbook",
-    priority: 0,
-    attemptLimit: 2,
-    stretch: 1.6,
-    objectiveMilliseconds: 600,
-    isPublic: true,
-  }],
+  queues: [
+    createQueue({
+      name: "berths",
+      host: "berths.example",
+      pathPrefix: "/berths/",
+      service: "berthbook",
+      attemptLimit: 2,
+    }),
+  ],
   services: [{ name: "berthbook", isGuarded: false, isSpare: false }],
   customers: [],
   largestBodyBytes: 10_000,
@@ -46,16 +45,7 @@
   stop: () => void;
 }
 
-const EXECUTOR: ExecutorEntry = {
-  id: "i-1",
-  born: 1_000,
-  service: "berthbook",
-  address: "10.0.0.1:80",
-  zone: "zl-a",
-  labels: [],
-  capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
-  isDraining: false,
-};
+const EXECUTOR: ExecutorEntry = createListedExecutor({ born: 1_000, service: "berthbook" });
 
 /** Starts an owner that has just confirmed its claim; executors have seen a higher fence than its own. */
 async function startOwner(entries: readonly ExecutorEntry[] = []): Promise<Owner> {
--- a/src/owner/take_over_test.ts
+++ b/src/owner/take_over_test.ts
@@ -8,21 +8,12 @@
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
 import { createExecutorEntry } from "./executor_records.ts";
 import { readStoredJobs } from "./job_records.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_samples.ts";
 
 /** How long an earlier owner's starts may run at most, in milliseconds. */
 const DOUBT_MILLISECONDS = 6_695;
 
-const QUEUE: Queue = {
-  name: "tugs",
-  host: "h",
-  pathPrefix: "/",
-  service: "tugdesk",
-  priority: 0,
-  attemptLimit: 4,
-  stretch: 1.6,
-  objectiveMilliseconds: 600,
-  isPublic: true,
-};
+const QUEUE: Queue = createQueue();
 
 function createConfiguration(queues: Queue[]): Configuration {
   return Configuration.create({
@@ -43,17 +34,11 @@
 };
 
 function createEntry(number: number): ExecutorEntry {
-  return {
+  return createListedExecutor({
     id: `i-${number}`,
-    born: 1,
-    service: "tugdesk",
     address: `10.0.0.${number}:80`,
-    zone: "zl-a",
     host: `m-${number}`,
-    labels: [],
-    capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
-    isDraining: false,
-  };
+  });
 }
 
 function createHost(number: number, state: HostState, executorId: string): Host {
--- a/src/owner/waiting_count_test.ts
+++ b/src/owner/waiting_count_test.ts
@@ -4,20 +4,13 @@
 import { FleetWorld } from "../platform/stand_in/fleet_world.ts";
 import type { WorldFaults } from "../platform/stand_in/world_options.ts";
 import { createStepSpecification } from "../stand_ins/step_samples.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_samples.ts";
 
 const CONFIGURATION: ConfigurationData = {
   version: 1,
-  queues: [{
-    name: "quotes",
-    host: "quotes.example",
-    pathPrefix: "/",
-    service: "pricing",
-    priority: 0,
-    attemptLimit: 2,
-    stretch: 1.6,
-    objectiveMilliseconds: 600,
-    isPublic: true,
-  }],
+  queues: [
+    createQueue({ name: "quotes", host: "quotes.example", service: "pricing", attemptLimit: 2 }),
+  ],
   services: [{ name: "pricing", isGuarded: false, isSpare: false }],
   customers: [],
   largestBodyBytes: 10_000,
@@ -43,16 +36,15 @@
     seed: 5,
     faults: NO_FAULTS,
     configuration: CONFIGURATION,
-    executors: ["i-1", "i-2"].map((id) => ({
-      id,
-      born: 1_000,
-      service: "pricing",
-      address: `${id}:80`,
-      zone: "zl-a",
-      labels: ["a"],
-      capacity: { cpu: 8_000, memory: 16_000, accelerators: 0 },
-      isDraining: false,
-    })),
+    executors: ["i-1", "i-2"].map((id) =>
+      createListedExecutor({
+        id,
+        born: 1_000,
+        service: "pricing",
+        address: `${id}:80`,
+        labels: ["a"],
+      })
+    ),
   });
   world.run(200);
   world.setFaults({ ...NO_FAULTS, ...faults });
