End the executor of a host that is ordered again, and leave bringing it back to the list

Where the earlier order had never been carried out, the host was taken now, and its executor stayed. What in the stayed executor held the task up is not traced.

--- a/src/owner/fleet_hosts_test.ts
+++ b/src/owner/fleet_hosts_test.ts
@@ -238,6 +238,32 @@
   t.deepEqual(world.violations, []);
 });
 
+test("a lasting task runs again after orders of earlier owners that were never carried out", (t) => {
+  const { violations } = play({
+    seed: 849355977,
+    faults: { lostPart: 0.2, latePart: 0, failingPart: 0 },
+    happenings: [
+      "owner",
+      "owner",
+      "none",
+      "none",
+      "owner",
+      "drain",
+      "none",
+      "none",
+      "crash",
+      "crash",
+      "crash",
+      "none",
+      "owner",
+      "none",
+      "drain",
+      "owner",
+    ],
+  });
+  t.deepEqual(violations, []);
+});
+
 test("a wave is completed, and every job within a calm run", (t) => {
   const world = play({ seed: 1, faults: NO_FAULTS, happenings: [] });
   const states = Array.from({ length: 64 }, (_, turn) => world.getJobState(`job${turn}`));
--- a/src/owner/host_orders_test.ts
+++ b/src/owner/host_orders_test.ts
@@ -76,6 +76,7 @@
   owner.submit(SUBMISSION, () => {});
   for (let step = 0; step < 200; step += 1) {
     advance(() => owner.setExecutors([executor]));
+    advance(() => owner.setHosts([createHost(executor.id)], 150 + step * 50));
     if (starts.length === 0) answerEmpty(executor);
   }
   t.deepEqual(starts.slice(0, 1).map((order) => order.executor.id), ["i-9"]);
--- a/src/owner/maintenance.ts
+++ b/src/owner/maintenance.ts
@@ -287,8 +287,7 @@
         hosts.empty(host);
         if (state.now - place.since > PATIENCE_MILLISECONDS) hosts.clear(host);
         if (!hosts.isEmpty(host) || !hosts.mayOrder(host.name)) return;
-        // An order that is done already ends nothing: the executor may have come after it.
-        place.executorId = place.isOrdered ? "" : host.executorId;
+        place.executorId = host.executorId;
         return this.#order(progress, place);
       case WaveStage.Storing:
         if (host !== undefined) hosts.empty(host);
--- a/src/owner/wave_progress.ts
+++ b/src/owner/wave_progress.ts
@@ -29,7 +29,7 @@
   stage: WaveStage;
   /** Since when it has come that far, on the steady clock. */
   since: number;
-  /** The executor that its first order ends; empty where an earlier one may have ended its own. */
+  /** The executor that it had when it was ordered. */
   executorId: string;
   /** When its order may be sent again, on the steady clock; 0 if none is to be. */
   retryAt: number;
