Log why reads of the store fail and when the configuration is outdated

Change: store-lost carries the reason with the bytes received, and repeats at the 2nd, 4th, 8th ... failure in a row; configuration-outdated and configuration-current mark the change of what the host serves, with the age; the gauge configurationAgeMilliseconds is served with the metrics. No decision changes.

--- a/src/commands/explain_request.ts
+++ b/src/commands/explain_request.ts
@@ -17,6 +17,8 @@
   "take-over-done",
   "store-lost",
   "store-regained",
+  "configuration-outdated",
+  "configuration-current",
   "journal-lost",
   "journal-regained",
   "host-started",
--- a/src/front/front_task.ts
+++ b/src/front/front_task.ts
@@ -70,6 +70,7 @@
   readonly #pending = new Map<number, PendingCall>();
   #configuration: Configuration | undefined;
   #configurationAsOf = -Infinity;
+  #wasConfigurationFresh = false;
   #view: OwnershipView | undefined;
   #link: OwnerLinkTask | undefined;
   #lastNumber = 0;
@@ -86,9 +87,13 @@
 
   /** Gets whether the configuration is recent enough to authorize calls with a key. */
   isConfigurationFresh(): boolean {
-    const { clock, getMaximumConfigurationAge: getMaximumAge } = this.#options;
     return this.#configuration !== undefined &&
-      clock.getElapsed() - this.#configurationAsOf < getMaximumAge();
+      this.getConfigurationAge() < this.#options.getMaximumConfigurationAge();
+  }
+
+  /** Gets the time since the configuration was last known to be current, in milliseconds. */
+  getConfigurationAge(): number {
+    return this.#options.clock.getElapsed() - this.#configurationAsOf;
   }
 
   /** Gets the number of pending calls. */
@@ -103,7 +108,7 @@
       case "configuration":
         this.#configuration = message.configuration;
         this.#configurationAsOf = Math.max(this.#configurationAsOf, message.asOf);
-        return;
+        return this.#logFreshness();
       case "ownership":
         return this.#setOwner(message.view);
       case "answered":
@@ -241,7 +246,19 @@
     pending.reply(isInDoubt ? { outcome: AnswerOutcome.InDoubt, reason } : answer);
   }
 
+  /** Logs when the configuration has become outdated or current since the last call. */
+  #logFreshness(): void {
+    const isFresh = this.isConfigurationFresh();
+    if (isFresh === this.#wasConfigurationFresh) return;
+    this.#wasConfigurationFresh = isFresh;
+    this.#options.log(isFresh ? "configuration-current" : "configuration-outdated", {
+      version: this.#configuration?.version,
+      age: Math.round(this.getConfigurationAge()),
+    });
+  }
+
   #tick(): void {
+    this.#logFreshness();
     const now = performance.now();
     for (const [number, pending] of this.#pending) {
       const hasNoOwner = pending.deliveryCount === 0 &&
--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -47,6 +47,8 @@
   readonly answer: Promise<LinkResponse>;
   /** Whether the request has timed out. */
   isTimedOut = false;
+  /** The bytes of the response's body that were received so far. */
+  receivedBytes = 0;
   readonly #chunks: Buffer[] = [];
   #status = 0;
   #controller: Dispatcher.DispatchController | undefined;
@@ -84,6 +86,7 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#chunks.push(chunk);
+    this.receivedBytes += chunk.length;
   }
 
   onResponseEnd(): void {
@@ -133,7 +136,8 @@
       if (collector.isTimedOut) this.#replacePool(pool);
       throw new NoResponseError({
         message: collector.isTimedOut
-          ? `no response within ${request.timeoutMilliseconds} ms`
+          ? `no complete response within ${request.timeoutMilliseconds} ms, ` +
+            `${collector.receivedBytes} bytes received`
           : getErrorMessage(error),
         step: request.step,
         peer: this.address,
--- a/src/platform/keyed_topic_task.ts
+++ b/src/platform/keyed_topic_task.ts
@@ -39,10 +39,13 @@
   log: EventLog;
 }
 
+/** The result of a read, or the reason why the store did not serve it. */
+type TopicReadResult = { update: KeyedTopicUpdate } | { reason: string };
+
 /** The messages that a `KeyedTopicTask` accepts. */
 export type KeyedTopicMessage =
   | { kind: "read" }
-  | { kind: "answered"; update: KeyedTopicUpdate | undefined; reason?: string | undefined };
+  | { kind: "answered"; result: TopicReadResult };
 
 /** Owns the read position in one topic. */
 export class KeyedTopicTask extends Task<KeyedTopicMessage> {
@@ -68,13 +71,11 @@
     switch (message.kind) {
       case "read":
         this.#readCount += 1;
-        void this.#read().then((update) => this.post({ kind: "answered", update }))
-          .catch((error: unknown) =>
-            this.post({ kind: "answered", update: undefined, reason: String(error) })
-          );
+        void this.#read().catch((error: unknown): TopicReadResult => ({ reason: String(error) }))
+          .then((result) => this.post({ kind: "answered", result }));
         return;
       case "answered":
-        return this.#handleResult(message.update, message.reason);
+        return this.#handleResult(message.result);
     }
   }
 
@@ -82,33 +83,45 @@
     return { topic: this.#options.topic, next: this.#nextOffset ?? 0, reads: this.#readCount };
   }
 
-  #handleResult(update: KeyedTopicUpdate | undefined, reason: string | undefined): void {
-    const { log, topic, store, onUpdate, pauseMilliseconds } = this.#options;
-    if (update === undefined) {
-      this.#failureCount += 1;
-      if (this.#failureCount === 1) {
-        log("store-lost", { step: "read", topic, peer: store.getAddress(), reason });
-      }
-    } else {
-      if (this.#failureCount > 0) {
-        log("store-regained", { topic, peer: store.getAddress(), failures: this.#failureCount });
-      }
-      this.#failureCount = 0;
-      onUpdate(update);
+  #handleResult(result: TopicReadResult): void {
+    const { onUpdate, pauseMilliseconds } = this.#options;
+    if ("reason" in result) this.#countFailure(result.reason);
+    else {
+      this.#clearFailures();
+      onUpdate(result.update);
     }
-    const delay = update === undefined ? RETRY_DELAY_MILLISECONDS : pauseMilliseconds;
+    const delay = "reason" in result ? RETRY_DELAY_MILLISECONDS : pauseMilliseconds;
     setTimeout(() => this.post({ kind: "read" }), delay);
   }
 
-  /** Reads the next records, or a full snapshot; undefined if the store did not serve the read. */
-  async #read(): Promise<KeyedTopicUpdate | undefined> {
+  /** Logs the first, second, fourth, eighth, ... of consecutive failures. */
+  #countFailure(reason: string): void {
+    const { log, topic, store } = this.#options;
+    this.#failureCount += 1;
+    if (!Number.isInteger(Math.log2(this.#failureCount))) return;
+    const failures = this.#failureCount;
+    log("store-lost", { step: "read", topic, peer: store.getAddress(), reason, failures });
+  }
+
+  #clearFailures(): void {
+    const { log, topic, store } = this.#options;
+    if (this.#failureCount > 0) {
+      log("store-regained", { topic, peer: store.getAddress(), failures: this.#failureCount });
+    }
+    this.#failureCount = 0;
+  }
+
+  /** Reads the next records, or a full snapshot. */
+  async #read(): Promise<TopicReadResult> {
     const { store, topic, waitMilliseconds, clock } = this.#options;
     const sentAt = clock.getElapsed();
     if (this.#nextOffset === undefined) {
       const newest = await store.readNewest({ topic, part: 0 });
-      if (newest.outcome !== "done") return undefined;
+      if (newest.outcome !== "done") return { reason: describeFailure(newest) };
       this.#nextOffset = newest.end;
-      return { changes: newest.values, isSnapshot: true, asOf: sentAt, end: newest.end };
+      return {
+        update: { changes: newest.values, isSnapshot: true, asOf: sentAt, end: newest.end },
+      };
     }
     const from = this.#nextOffset;
     const read = await store.read({ topic, part: 0, from, waitMilliseconds });
@@ -116,7 +129,7 @@
       this.#nextOffset = undefined;
       return await this.#read();
     }
-    if (read.outcome !== "done") return undefined;
+    if (read.outcome !== "done") return { reason: describeFailure(read) };
     const changes: KeyedEntry[] = [];
     for (const { offset, content } of read.records) {
       const entry = decodeKeyedRecord(content);
@@ -127,10 +140,18 @@
     // A read that stops before the end says nothing about the remaining records.
     const isAtEnd = this.#nextOffset >= read.end;
     return {
-      changes,
-      isSnapshot: false,
-      asOf: isAtEnd ? sentAt : -Infinity,
-      end: this.#nextOffset,
+      update: {
+        changes,
+        isSnapshot: false,
+        asOf: isAtEnd ? sentAt : -Infinity,
+        end: this.#nextOffset,
+      },
     };
   }
 }
+
+function describeFailure(
+  result: { outcome: "refused"; status: number } | { outcome: "unanswered"; reason: string },
+): string {
+  return result.outcome === "refused" ? `status ${result.status}` : result.reason;
+}
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -403,9 +403,16 @@
       configurationVersion: this.#operatorState.getConfiguration()?.version ?? 0,
       epoch: this.#claim?.epoch ?? 0,
       waitingCalls: this.#front.getPendingCount(),
+      ...this.#getConfigurationGauges(),
       ...this.#owner?.task.getSummary(),
     };
   }
+
+  /** Gets the age of the configuration, once there is one. */
+  #getConfigurationGauges(): Readonly<Record<string, number>> {
+    const age = this.#front.getConfigurationAge();
+    return Number.isFinite(age) ? { configurationAgeMilliseconds: Math.round(age) } : {};
+  }
 }
 
 function delay(milliseconds: number): Promise<void> {
