--- /dev/null
+++ b/src/platform/keyed_topic_task_test.ts
@@ -0,0 +1,66 @@
+import test from "ava";
+import type { EventLog } from "../events/mod.ts";
+import { ElapsedClock } from "../tasks/mod.ts";
+import { KeyedTopicTask, type KeyedTopicUpdate } from "./keyed_topic_task.ts";
+import { StoreClient } from "./store_client.ts";
+import { type StoreFault, StoreStandIn } from "./stand_in/store_stand_in.ts";
+
+/** The reads after which a test gives up, so that a task that never catches up ends it. */
+const MAXIMUM_READS = 12;
+/** The rate of a slow link, in bytes per millisecond. */
+const SLOW_LINK_BYTES_PER_MILLISECOND = 200;
+/** A record that takes 1.2 s on a slow link: the response to a fast read times out after 200 ms. */
+const LARGE_RECORD_TEXT = "x".repeat(240_000);
+
+interface FollowOptions {
+  store: StoreStandIn;
+  log?: EventLog;
+  /** Called with each update; the task stops when it returns true. */
+  isFinished: (update: KeyedTopicUpdate) => boolean;
+}
+
+/** Follows a topic until a test has what it waits for; resolves with whether it got it. */
+async function followTopic(options: FollowOptions): Promise<boolean> {
+  const { store, log, isFinished } = options;
+  const client = StoreClient.create(await store.listen());
+  let reads = 0;
+  let task: KeyedTopicTask | undefined;
+  const chooseFault = store.chooseFault;
+  const isReceived = await new Promise<boolean>((resolve) => {
+    store.chooseFault = (path): StoreFault => {
+      reads += 1;
+      if (reads > MAXIMUM_READS) resolve(false);
+      return chooseFault(path);
+    };
+    task = KeyedTopicTask.create({
+      store: client,
+      topic: "keyed.op",
+      waitMilliseconds: 100,
+      pauseMilliseconds: 0,
+      onUpdate: (update) => {
+        if (isFinished(update)) resolve(true);
+      },
+      clock: ElapsedClock.create(),
+      log: log ?? (() => {}),
+    });
+  });
+  task?.stop();
+  client.close();
+  store.close();
+  return isReceived;
+}
+
+test("a record whose transfer takes longer than the usual response is received on a slow link", async (t) => {
+  const store = StoreStandIn.create({ bytesPerMillisecond: SLOW_LINK_BYTES_PER_MILLISECOND });
+  store.put("keyed.op", "config", "small");
+  const received: string[] = [];
+  const isReceived = await followTopic({
+    store,
+    isFinished: ({ changes }) => {
+      for (const { key, value } of changes) received.push(`${key}: ${value.length} bytes`);
+      if (received.length === 1) store.put("keyed.op", "config", LARGE_RECORD_TEXT);
+      return received.length > 1;
+    },
+  });
+  t.snapshot({ isReceived, received });
+});
--- a/src/platform/stand_in/store_stand_in.ts
+++ b/src/platform/stand_in/store_stand_in.ts
@@ -1,11 +1,14 @@
 /** A stand-in for the platform's store that listens on loopback, with faults that tests set. */
 
+import { setTimeout as delay } from "node:timers/promises";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { decodeKeyedRecord, encodeKeyedRecord, parseJson } from "../store_client.ts";
 import { sendJson, StandInServer } from "./stand_in_server.ts";
 
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
+/** The interval at which a slow transfer goes on, in milliseconds. */
+const SLICE_MILLISECONDS = 10;
 /** The number of a producer's latest appends whose repetition gets the original response. */
 const RETAINED_APPENDS = 5;
 
@@ -42,6 +45,8 @@
 export interface StoreStandInOptions {
   /** Chooses the fault of a request by its path, including the query; no faults by default. */
   chooseFault?: (path: string) => StoreFault;
+  /** The rate at which each body is transferred, in bytes per millisecond; unlimited by default. */
+  bytesPerMillisecond?: number;
 }
 
 /** An in-memory store. */
@@ -54,9 +59,11 @@
   /** The newest record of each key as of the last compaction of a partition. */
   readonly #compacted = new Map<StoredPartition, Buffer[]>();
   readonly #server: StandInServer;
+  readonly #bytesPerMillisecond: number;
 
   private constructor(options: StoreStandInOptions) {
     this.chooseFault = options.chooseFault ?? (() => StoreFault.None);
+    this.#bytesPerMillisecond = options.bytesPerMillisecond ?? Infinity;
     this.#server = StandInServer.create((request, body, response) =>
       this.#handle(request, body, response)
     );
@@ -118,7 +125,18 @@
     const result = await this.#serve(url, body, request);
     if (fault === StoreFault.AnswerLost) return;
     response.statusCode = result.status;
-    response.end(result.body);
+    await this.#send(response, Buffer.from(result.body));
+  }
+
+  async #send(response: ServerResponse, body: Buffer): Promise<void> {
+    const sliceBytes = this.#bytesPerMillisecond * SLICE_MILLISECONDS;
+    let sent = 0;
+    while (body.length - sent > sliceBytes && !response.destroyed) {
+      response.write(body.subarray(sent, sent + sliceBytes));
+      sent += sliceBytes;
+      await delay(SLICE_MILLISECONDS);
+    }
+    response.end(body.subarray(sent));
   }
 
   async #serve(url: URL, body: Buffer, request: IncomingMessage) {
