Extend the time limit of an exchange while its bytes arrive

Cause: HttpLink bounded the whole exchange by a time that follows the latency of earlier answers, 200 ms to 800 ms for small ones. A configuration of 840 KB takes 1.1 s on a link of 7 Mbit/s. Each read was discarded at its limit and repeated from the start, so that the links were full and nothing was applied. Class: a bound on the whole transfer in place of its progress; a retry that starts over. Change: the time limit is one of silence: it starts anew with each chunk, and a minimum rate ends exchanges that trickle; an upload gets time by its size. The adaptive timeout learns from the time to the headers, not from the size of bodies. A pool that is replaced after a timeout completes the requests that make progress; it was destroyed after 4 s, which would start a longer transfer anew. Why it works: a transfer of any size ends, once, on any link above the minimum rate, and a silent connection is noticed as soon as before. Result: the test passes with one read for each record; a response that stops midway is read again; with the old limit of 4 s for a replaced pool "a transfer in progress survives another request's timeout" fails. The tests of src/platform pass.

--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -163,7 +163,6 @@
     waitMilliseconds = 0,
   ): Promise<LinkResponse | undefined> {
     const { link, timeout } = this.#getLink(executor);
-    const sentAt = performance.now();
     try {
       const response = await link.call({
         step: path,
@@ -171,9 +170,10 @@
         path,
         headers: { ...JSON_HEADERS, "expect-instance": executor.id },
         body: JSON.stringify(body),
-        timeoutMilliseconds: waitMilliseconds + timeout.getMilliseconds(),
+        waitMilliseconds,
+        silenceMilliseconds: timeout.getMilliseconds(),
       });
-      timeout.recordResponse(Math.max(0, performance.now() - sentAt - waitMilliseconds));
+      timeout.recordResponse(response.latencyMilliseconds);
       return response;
     } catch (error) {
       timeout.recordFailure();
--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -4,11 +4,10 @@
 // Loading the whole package takes several times as long, which would delay each start of a host.
 import Pool from "undici/lib/dispatcher/pool.js";
 import { getErrorMessage, StepError } from "../errors/mod.ts";
+import { TransferDeadline } from "./transfer_deadline.ts";
 
 /** How long an idle connection is kept open, in milliseconds. */
 const KEEP_ALIVE_MILLISECONDS = 60_000;
-/** How long a replaced pool serves its pending requests, in milliseconds: the longest timeout. */
-const REPLACED_POOL_LINGER_MILLISECONDS = 4_000;
 
 /** No response was received: the request may have been executed, or may be executed later. */
 export class NoResponseError extends StepError {}
@@ -22,8 +21,10 @@
   path: string;
   headers?: Readonly<Record<string, string>>;
   body?: Uint8Array | string | undefined;
-  /** The time limit for the complete response, in milliseconds. */
-  timeoutMilliseconds: number;
+  /** How long the server may hold the request before it responds, in milliseconds; 0 if unset. */
+  waitMilliseconds?: number;
+  /** How long the exchange may make no progress, in milliseconds (see `TransferDeadline`). */
+  silenceMilliseconds: number;
 }
 
 /** An HTTP response. */
@@ -31,6 +32,8 @@
   /** The HTTP status code. */
   status: number;
   body: Buffer;
+  /** The time until the headers arrived, without the requested wait, in milliseconds. */
+  latencyMilliseconds: number;
 }
 
 /** Options of an `HttpLink`. */
@@ -47,31 +50,41 @@
   readonly answer: Promise<LinkResponse>;
   /** Whether the request has timed out. */
   isTimedOut = false;
-  /** The bytes of the response's body that were received so far. */
-  receivedBytes = 0;
+  readonly #request: LinkRequest;
+  readonly #sentAt = performance.now();
+  readonly #deadline: TransferDeadline;
   readonly #chunks: Buffer[] = [];
+  #timer: NodeJS.Timeout | undefined;
   #status = 0;
+  #latencyMilliseconds = 0;
   #controller: Dispatcher.DispatchController | undefined;
   #resolve!: (response: LinkResponse) => void;
   #reject!: (error: unknown) => void;
 
-  private constructor() {
+  private constructor(request: LinkRequest) {
+    this.#request = request;
+    this.#deadline = TransferDeadline.create({
+      sentAt: this.#sentAt,
+      sentBytes: Buffer.byteLength(request.body ?? ""),
+      waitMilliseconds: request.waitMilliseconds ?? 0,
+      silenceMilliseconds: request.silenceMilliseconds,
+    });
     this.answer = new Promise((resolve, reject) => {
       this.#resolve = resolve;
       this.#reject = reject;
     });
   }
 
-  static create(): ResponseCollector {
-    return new ResponseCollector();
+  /** Creates a collector, whose time limit starts to run. */
+  static create(request: LinkRequest): ResponseCollector {
+    const collector = new ResponseCollector(request);
+    collector.#checkDeadline();
+    return collector;
   }
 
-  /** Rejects the response, and aborts the request if it has been sent. */
-  timeOut(): void {
-    const error = new Error("request timed out");
-    this.isTimedOut = true;
-    this.#reject(error);
-    this.#controller?.abort(error);
+  /** Stops checking the time limit. */
+  close(): void {
+    clearTimeout(this.#timer);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -81,23 +94,44 @@
   }
 
   onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+    const now = performance.now();
+    const waitMilliseconds = this.#request.waitMilliseconds ?? 0;
     this.#status = status;
+    this.#latencyMilliseconds = Math.max(0, now - this.#sentAt - waitMilliseconds);
+    this.#deadline.recordReceived(0, now);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#chunks.push(chunk);
-    this.receivedBytes += chunk.length;
+    this.#deadline.recordReceived(chunk.length, performance.now());
   }
 
   onResponseEnd(): void {
     const [first] = this.#chunks;
     const body = this.#chunks.length === 1 ? first! : Buffer.concat(this.#chunks);
-    this.#resolve({ status: this.#status, body });
+    this.#resolve({ status: this.#status, body, latencyMilliseconds: this.#latencyMilliseconds });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     this.#reject(error);
   }
+
+  #checkDeadline(): void {
+    const remaining = this.#deadline.getTime() - performance.now();
+    if (remaining <= 0) return this.#timeOut();
+    this.#timer = setTimeout(() => this.#checkDeadline(), Math.ceil(remaining));
+  }
+
+  /** Rejects the response, and aborts the request if it has been sent. */
+  #timeOut(): void {
+    const milliseconds = Math.round(performance.now() - this.#sentAt);
+    const error = new Error(
+      `timed out after ${milliseconds} ms, ${this.#deadline.getReceivedBytes()} bytes received`,
+    );
+    this.isTimedOut = true;
+    this.#reject(error);
+    this.#controller?.abort(error);
+  }
 }
 
 /** A connection pool for one address. */
@@ -122,8 +156,7 @@
   /** Sends a request and gets the complete response, or throws a `NoResponseError`. */
   async call(request: LinkRequest): Promise<LinkResponse> {
     const pool = this.#pool;
-    const collector = ResponseCollector.create();
-    const timer = setTimeout(() => collector.timeOut(), request.timeoutMilliseconds);
+    const collector = ResponseCollector.create(request);
     try {
       pool.dispatch({
         method: request.method,
@@ -135,16 +168,13 @@
     } catch (error) {
       if (collector.isTimedOut) this.#replacePool(pool);
       throw new NoResponseError({
-        message: collector.isTimedOut
-          ? `no complete response within ${request.timeoutMilliseconds} ms, ` +
-            `${collector.receivedBytes} bytes received`
-          : getErrorMessage(error),
+        message: getErrorMessage(error),
         step: request.step,
         peer: this.address,
         cause: error,
       });
     } finally {
-      clearTimeout(timer);
+      collector.close();
     }
   }
 
@@ -169,7 +199,7 @@
   #replacePool(pool: Pool): void {
     if (this.#isClosed || pool !== this.#pool) return;
     this.#pool = this.#createPool();
-    const timer = setTimeout(() => void pool.destroy(), REPLACED_POOL_LINGER_MILLISECONDS);
-    timer.unref();
+    // Requests that still make progress are completed.
+    void pool.close();
   }
 }
--- a/src/platform/keyed_topic_task_test.ts
+++ b/src/platform/keyed_topic_task_test.ts
@@ -3,7 +3,7 @@
 import { ElapsedClock } from "../tasks/mod.ts";
 import { KeyedTopicTask, type KeyedTopicUpdate } from "./keyed_topic_task.ts";
 import { StoreClient } from "./store_client.ts";
-import { type StoreFault, StoreStandIn } from "./stand_in/store_stand_in.ts";
+import { StoreFault, StoreStandIn } from "./stand_in/store_stand_in.ts";
 
 /** The reads after which a test gives up, so that a task that never catches up ends it. */
 const MAXIMUM_READS = 12;
@@ -11,6 +11,8 @@
 const SLOW_LINK_BYTES_PER_MILLISECOND = 200;
 /** A record that takes 1.2 s on a slow link: the response to a fast read times out after 200 ms. */
 const LARGE_RECORD_TEXT = "x".repeat(240_000);
+/** The size of a transfer that outlasts any timeout: it takes 5 s on a slow link. */
+const LONG_TRANSFER_BYTES = 1_000_000;
 
 interface FollowOptions {
   store: StoreStandIn;
@@ -64,3 +66,38 @@
   });
   t.snapshot({ isReceived, received });
 });
+
+test("a response that falls silent midway is read again", async (t) => {
+  const store = StoreStandIn.create();
+  store.put("keyed.op", "config", "small");
+  const events: string[] = [];
+  const received: string[] = [];
+  const isReceived = await followTopic({
+    store,
+    log: (event, fields) => {
+      events.push(`${event} ${String(fields?.["reason"]).replace(/ \d+ ms/, "")}`);
+    },
+    isFinished: ({ changes }) => {
+      for (const { key, value } of changes) received.push(`${key}: ${value.length} bytes`);
+      if (received.length === 1) {
+        let stalledCount = 0;
+        store.chooseFault = () => stalledCount++ === 0 ? StoreFault.Stalled : StoreFault.None;
+        store.put("keyed.op", "config", LARGE_RECORD_TEXT);
+      }
+      return received.length > 1;
+    },
+  });
+  t.snapshot({ isReceived, received, events });
+});
+
+test("a transfer in progress survives another request's timeout", async (t) => {
+  const store = StoreStandIn.create({ bytesPerMillisecond: SLOW_LINK_BYTES_PER_MILLISECOND });
+  const client = StoreClient.create(await store.listen());
+  t.teardown(() => (client.close(), store.close()));
+  store.put("keyed.op", "config", "x".repeat(LONG_TRANSFER_BYTES));
+  store.chooseFault = (path) => path.includes("claims") ? StoreFault.RequestLost : StoreFault.None;
+  const reading = client.read({ topic: "keyed.op", part: 0, from: 0, waitMilliseconds: 0 });
+  const lost = await client.read({ topic: "keyed.claims", part: 0, from: 0, waitMilliseconds: 0 });
+  const read = await reading;
+  t.snapshot({ lost: lost.outcome, read: read.outcome });
+});
--- a/src/platform/provider_client.ts
+++ b/src/platform/provider_client.ts
@@ -151,7 +151,7 @@
         step,
         method,
         path,
-        timeoutMilliseconds: PROVIDER_TIMEOUT_MILLISECONDS,
+        silenceMilliseconds: PROVIDER_TIMEOUT_MILLISECONDS,
         ...options,
       });
     } catch (error) {
--- a/src/platform/stand_in/store_stand_in.ts
+++ b/src/platform/stand_in/store_stand_in.ts
@@ -24,6 +24,8 @@
   AnswerLost: "lost-answer",
   /** The request is neither executed nor answered. */
   RequestLost: "silent",
+  /** The request is executed, and its response stops after half of the body. */
+  Stalled: "stalled",
 } as const;
 export type StoreFault = typeof StoreFault[keyof typeof StoreFault];
 
@@ -125,6 +127,9 @@
     const result = await this.#serve(url, body, request);
     if (fault === StoreFault.AnswerLost) return;
     response.statusCode = result.status;
+    if (fault === StoreFault.Stalled) {
+      return void response.write(result.body.slice(0, result.body.length / 2));
+    }
     await this.#send(response, Buffer.from(result.body));
   }
 
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -149,7 +149,8 @@
     const response = await this.#request("read", {
       method: "GET",
       path: `/-/log-read?topic=${topic}&part=${part}&from=${from}&waitMs=${waitMilliseconds}`,
-    }, waitMilliseconds);
+      waitMilliseconds,
+    });
     if (response.status === 410) {
       return { outcome: "expired", ...this.#parse("read", expiredSchema, response) };
     }
@@ -191,19 +192,17 @@
     this.#link.close();
   }
 
-  /** Sends a request, and records its latency without the requested wait. */
+  /** Sends a request, and records its latency. */
   async #request(
     step: string,
-    request: Omit<LinkRequest, "step" | "timeoutMilliseconds">,
-    waitMilliseconds = 0,
+    request: Omit<LinkRequest, "step" | "silenceMilliseconds">,
   ): Promise<LinkResponse> {
     const timeout = this.#timeouts.get(step) ?? AdaptiveTimeout.create();
     this.#timeouts.set(step, timeout);
-    const timeoutMilliseconds = waitMilliseconds + timeout.getMilliseconds();
-    const sentAt = performance.now();
+    const silenceMilliseconds = timeout.getMilliseconds();
     try {
-      const response = await this.#link.call({ step, ...request, timeoutMilliseconds });
-      timeout.recordResponse(Math.max(0, performance.now() - sentAt - waitMilliseconds));
+      const response = await this.#link.call({ step, ...request, silenceMilliseconds });
+      timeout.recordResponse(response.latencyMilliseconds);
       return response;
     } catch (error) {
       timeout.recordFailure();
