Read the newest values when a read leaves several records behind

Cause: a host that fell behind read every version in order. The store cuts a response at 1 MB, so each version of a large configuration was a read of its own, and the configuration counted as outdated until the last one. With versions that come faster than one can be transferred a host falls behind without end. The store stand-in cuts responses at 1,024 KB as the store does. Evidence: "a host that is behind by several large values reads only the newest one" failed on the code before: it read the versions 5, 6, 7 and 8 in place of 8. Result: the tests of src/platform pass.

--- a/src/platform/keyed_topic_task.ts
+++ b/src/platform/keyed_topic_task.ts
@@ -7,6 +7,9 @@
 /** The delay before a failed read is retried, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 100;
 
+/** How many records may remain after a read that the store has cut short, without a snapshot. */
+const MAXIMUM_REMAINING_RECORDS = 1;
+
 /** The result of one successful read of a keyed topic. */
 export interface KeyedTopicUpdate {
   /** The changed values, in order; an empty value deletes the key. */
@@ -136,15 +139,19 @@
       if (entry !== undefined) changes.push(entry);
       else this.#options.log("store-record-unreadable", { topic, offset });
     }
-    this.#nextOffset = from + read.records.length;
-    // A read that stops before the end says nothing about the remaining records.
-    const isAtEnd = this.#nextOffset >= read.end;
+    const nextOffset = from + read.records.length;
+    const remaining = read.end - nextOffset;
+    // Only the newest value of each key counts: a snapshot leaves out the superseded ones.
+    const needsSnapshot = remaining > MAXIMUM_REMAINING_RECORDS ||
+      (remaining > 0 && read.records.length === 0);
+    this.#nextOffset = needsSnapshot ? undefined : nextOffset;
     return {
       update: {
         changes,
         isSnapshot: false,
-        asOf: isAtEnd ? sentAt : -Infinity,
-        end: this.#nextOffset,
+        // A read that stops before the end says nothing about the remaining records.
+        asOf: remaining <= 0 ? sentAt : -Infinity,
+        end: nextOffset,
       },
     };
   }
--- a/src/platform/keyed_topic_task_test.ts
+++ b/src/platform/keyed_topic_task_test.ts
@@ -9,6 +9,8 @@
 const MAXIMUM_READS = 12;
 /** The rate of a slow link, in bytes per millisecond. */
 const SLOW_LINK_BYTES_PER_MILLISECOND = 200;
+/** The rate of a fast link, in bytes per millisecond. */
+const FAST_LINK_BYTES_PER_MILLISECOND = 5_000;
 /** A record that takes 1.2 s on a slow link: the response to a fast read times out after 200 ms. */
 const LARGE_RECORD_TEXT = "x".repeat(240_000);
 /** The size of a transfer that outlasts any timeout: it takes 5 s on a slow link. */
@@ -67,6 +69,26 @@
   t.snapshot({ isReceived, received });
 });
 
+test("a host that is behind by several large values reads only the newest one", async (t) => {
+  const store = StoreStandIn.create({ bytesPerMillisecond: FAST_LINK_BYTES_PER_MILLISECOND });
+  store.put("keyed.op", "config", 0);
+  const updates: { isSnapshot: boolean; versions: number[]; isCurrent: boolean }[] = [];
+  const isReceived = await followTopic({
+    store,
+    isFinished: ({ changes, isSnapshot, asOf }) => {
+      const versions = changes.map(({ value }) => parseInt(value.toString().slice(1)) || 0);
+      updates.push({ isSnapshot, versions, isCurrent: asOf > -Infinity });
+      if (updates.length === 1) {
+        for (let version = 1; version <= 8; version += 1) {
+          store.put("keyed.op", "config", version + LARGE_RECORD_TEXT);
+        }
+      }
+      return versions.includes(8);
+    },
+  });
+  t.snapshot({ isReceived, updates });
+});
+
 test("a response that falls silent midway is read again", async (t) => {
   const store = StoreStandIn.create();
   store.put("keyed.op", "config", "small");
--- a/src/platform/stand_in/store_stand_in.ts
+++ b/src/platform/stand_in/store_stand_in.ts
@@ -7,6 +7,9 @@
 
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
+const BYTES_PER_KB = 1_024;
+/** The maximum size of the records that a read returns, unless it asks for another, in KB. */
+const DEFAULT_MAXIMUM_READ_KB = 1_024;
 /** The interval at which a slow transfer goes on, in milliseconds. */
 const SLICE_MILLISECONDS = 10;
 /** The number of a producer's latest appends whose repetition gets the original response. */
@@ -202,12 +205,16 @@
     const head = Buffer.alloc(2 * OFFSET_BYTES);
     head.writeBigUInt64BE(BigInt(getEnd(partition)), 0);
     head.writeBigUInt64BE(BigInt(partition.first), OFFSET_BYTES);
-    const records = partition.records.slice(from - partition.first).flatMap((record) => {
+    const parts: Buffer[] = [head];
+    let remainingBytes = Number(query.get("maxKb") ?? DEFAULT_MAXIMUM_READ_KB) * BYTES_PER_KB;
+    for (const record of partition.records.slice(from - partition.first)) {
       const length = Buffer.alloc(LENGTH_BYTES);
       length.writeUInt32BE(record.length);
-      return [length, record];
-    });
-    return { status: 200, body: Buffer.concat([head, ...records]) };
+      remainingBytes -= LENGTH_BYTES + record.length;
+      if (remainingBytes < 0 && parts.length > 1) break;
+      parts.push(length, record);
+    }
+    return { status: 200, body: Buffer.concat(parts) };
   }
 
   #readNewest(partition: StoredPartition, query: URLSearchParams) {
