--- a/src/platform/stand_in/store_stand_in.ts
+++ b/src/platform/stand_in/store_stand_in.ts
@@ -127,6 +127,7 @@
     if (fault === StoreFault.Busy) return sendJson(response, 503, {});
     if (fault === StoreFault.Reset) return void response.socket?.resetAndDestroy();
     if (fault === StoreFault.RequestLost) return;
+    await delay(body.length / this.#bytesPerMillisecond);
     const result = await this.#serve(url, body, request);
     if (fault === StoreFault.AnswerLost) return;
     response.statusCode = result.status;
--- a/src/platform/store_ports_test.ts
+++ b/src/platform/store_ports_test.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from "../events/mod.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
 import { StoreClient } from "./store_client.ts";
-import { createStatusStore, createWaveStatusEntry } from "./store_ports.ts";
+import { createJournalStore, createStatusStore, createWaveStatusEntry } from "./store_ports.ts";
 import { StoreFault, StoreStandIn } from "./stand_in/store_stand_in.ts";
 
 const noLog: EventLog = () => {};
@@ -58,3 +58,30 @@
   ];
   t.snapshot({ told: outcomes, shown: storeStandIn.getValues("keyed.status") });
 });
+
+test("entries whose upload takes longer than the usual response are stored on a slow link", async (t) => {
+  const storeStandIn = StoreStandIn.create({ bytesPerMillisecond: 200 });
+  const store = StoreClient.create(await storeStandIn.listen());
+  let appends = 0;
+  storeStandIn.chooseFault = () => {
+    appends += 1;
+    return StoreFault.None;
+  };
+  const journal = JournalTask.create({
+    store: createJournalStore(store),
+    epoch: 1,
+    firstSequence: 1,
+    onFenced: () => {},
+    onAppended: () => {},
+    log: noLog,
+  });
+  t.teardown(() => (journal.stop(), store.close(), storeStandIn.close()));
+  // 240 kB take 1.2 s; the response to a small append times out after 200 ms.
+  const value = Buffer.alloc(60_000, "x");
+  const stored = new Promise<string>((resolve) => {
+    const entries = ["a", "b", "c", "d"].map((key) => ({ key, value }));
+    journal.post({ kind: "write", entries, onStored: () => resolve("stored") });
+  });
+  const timeout = new Promise<string>((resolve) => setTimeout(() => resolve("not stored"), 8_000));
+  t.snapshot({ outcome: await Promise.race([stored, timeout]), appends });
+});
