Split large appends so that a lost one is noticed soon

What callers would see: no submission is answered for up to 10 s after the connection to the store is lost in the middle of a large append. Cause: an append gets time by its size, 10 ms for each kB, and a backlog was sent in appends of up to 1 MB. Change: writes are batched up to 100 kB, which is noticed as lost within 1.2 s of silence; a single larger write still goes alone. Evidence: the new test failed before: two writes of 60 kB went in one append. Result: the tests of src/ownership pass.

--- a/src/ownership/journal_task.ts
+++ b/src/ownership/journal_task.ts
@@ -10,8 +10,11 @@
 
 /** The maximum number of entries in one append. */
 const MAXIMUM_APPEND_ENTRIES = 500;
-/** The maximum size of one append, in bytes: well below the platform's limit of 2 MB. */
-const MAXIMUM_APPEND_BYTES = 1_000_000;
+/**
+ * The maximum size of an append of several writes, in bytes: a lost append is noticed later the
+ * larger it is.
+ */
+const MAXIMUM_APPEND_BYTES = 100_000;
 /** The delay before a failed append is retried, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 60;
 
--- a/src/ownership/journal_task_test.ts
+++ b/src/ownership/journal_task_test.ts
@@ -21,11 +21,12 @@
   };
 }
 
-function createEntry(key: string): JournalEntry {
-  return { key, value: Buffer.from(key) };
+/** Creates an entry with a value of the given size in bytes. */
+function createEntry(key: string, size = 1): JournalEntry {
+  return { key, value: Buffer.alloc(size) };
 }
 
-async function writeEntries(results: JournalAppendResult[]) {
+async function writeEntries(results: JournalAppendResult[], entrySize?: number) {
   const store = createStore(results);
   const stored: string[] = [];
   let isFenced = false;
@@ -39,7 +40,11 @@
     log: (event) => events.push(event),
   });
   for (const key of ["a", "b", "c"]) {
-    task.post({ kind: "write", entries: [createEntry(key)], onStored: () => stored.push(key) });
+    task.post({
+      kind: "write",
+      entries: [createEntry(key, entrySize)],
+      onStored: () => stored.push(key),
+    });
   }
   task.post({ kind: "write", entries: [], onStored: () => stored.push("all before") });
   while (!isFenced && stored.at(-1) !== "all before") {
@@ -66,3 +71,8 @@
   t.snapshot(await writeEntries([{ outcome: "wrong-sequence", expected: 7 }]));
   t.snapshot(await writeEntries([{ outcome: "done" }, { outcome: "fenced" }]));
 });
+
+test("a backlog of large writes is split, so that a lost append is noticed soon", async (t) => {
+  const { appended } = await writeEntries([], 60_000);
+  t.snapshot(appended);
+});
