--- a/src/platform/keyed_topic_task_test.ts
+++ b/src/platform/keyed_topic_task_test.ts
@@ -5,6 +5,8 @@
 import { StoreClient } from "./store_client.ts";
 import { StoreFault, StoreStandIn } from "./stand_in/store_stand_in.ts";
 
+const noLog: EventLog = () => {};
+
 /** The reads after which a test gives up, so that a task that never catches up ends it. */
 const MAXIMUM_READS = 12;
 /** The rate of a slow link, in bytes per millisecond. */
@@ -26,7 +28,7 @@
 /** Follows a topic until a test has what it waits for; resolves with whether it got it. */
 async function followTopic(options: FollowOptions): Promise<boolean> {
   const { store, log, isFinished } = options;
-  const client = StoreClient.create(await store.listen());
+  const client = StoreClient.create(await store.listen(), noLog);
   let reads = 0;
   let task: KeyedTopicTask | undefined;
   const chooseFault = store.chooseFault;
@@ -45,7 +47,7 @@
         if (isFinished(update)) resolve(true);
       },
       clock: ElapsedClock.create(),
-      log: log ?? (() => {}),
+      log: log ?? noLog,
     });
   });
   task?.stop();
@@ -114,7 +116,7 @@
 
 test("a transfer in progress survives another request's timeout", async (t) => {
   const store = StoreStandIn.create({ bytesPerMillisecond: SLOW_LINK_BYTES_PER_MILLISECOND });
-  const client = StoreClient.create(await store.listen());
+  const client = StoreClient.create(await store.listen(), noLog);
   t.teardown(() => (client.close(), store.close()));
   store.put("keyed.op", "config", "x".repeat(LONG_TRANSFER_BYTES));
   store.chooseFault = (path) => path.includes("claims") ? StoreFault.RequestLost : StoreFault.None;
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -92,7 +92,7 @@
     this.#settings = settings;
     this.#log = log;
     this.#metricsPort = options.metricsPort;
-    this.#store = StoreClient.create(settings.storeAddress);
+    this.#store = StoreClient.create(settings.storeAddress, log);
     this.#provider = settings.providerAddress === undefined ? undefined : ProviderClient.create({
       address: settings.providerAddress,
       holder: settings.name,
--- a/src/platform/stand_in/store_stand_in.ts
+++ b/src/platform/stand_in/store_stand_in.ts
@@ -137,12 +137,16 @@
     await this.#send(response, Buffer.from(result.body));
   }
 
+  /** Sends a body at the store's rate, however late the timers are. */
   async #send(response: ServerResponse, body: Buffer): Promise<void> {
-    const sliceBytes = this.#bytesPerMillisecond * SLICE_MILLISECONDS;
+    const startedAt = performance.now();
     let sent = 0;
-    while (body.length - sent > sliceBytes && !response.destroyed) {
-      response.write(body.subarray(sent, sent + sliceBytes));
-      sent += sliceBytes;
+    while (!response.destroyed) {
+      const elapsed = performance.now() - startedAt + SLICE_MILLISECONDS;
+      const due = Math.min(body.length, Math.floor(elapsed * this.#bytesPerMillisecond));
+      if (due === body.length) break;
+      response.write(body.subarray(sent, due));
+      sent = due;
       await delay(SLICE_MILLISECONDS);
     }
     response.end(body.subarray(sent));
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -1,12 +1,15 @@
 /** HTTP client of the platform's store, an append-only log of plain and keyed topics. */
 
 import { z } from "zod";
-import { StepError } from "../errors/mod.ts";
+import { getErrorMessage, StepError } from "../errors/mod.ts";
+import type { EventLog } from "../events/mod.ts";
 import { AdaptiveTimeout } from "./adaptive_timeout.ts";
 import { HttpLink, type LinkRequest, type LinkResponse, NoResponseError } from "./http_link.ts";
 
 /** The maximum number of connections to the store. */
 const MAXIMUM_CONNECTIONS = 12;
+/** How often a page after the first is requested before the read of all pages fails. */
+const MAXIMUM_PAGE_ATTEMPTS = 4;
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 
@@ -91,13 +94,16 @@
   /** The timeouts by operation. */
   readonly #timeouts = new Map<string, AdaptiveTimeout>();
 
-  private constructor(link: HttpLink) {
-    this.#link = link;
+  readonly #log: EventLog;
+
+  private constructor(address: string, log: EventLog) {
+    this.#link = HttpLink.create({ address, connections: MAXIMUM_CONNECTIONS });
+    this.#log = log;
   }
 
   /** Creates a client for the store at the given address. */
-  static create(address: string): StoreClient {
-    return new StoreClient(HttpLink.create({ address, connections: MAXIMUM_CONNECTIONS }));
+  static create(address: string, log: EventLog): StoreClient {
+    return new StoreClient(address, log);
   }
 
   /** Gets the address of the store. */
@@ -168,14 +174,8 @@
     let end: number | undefined;
     let after: string | undefined;
     for (;;) {
-      const query = new URLSearchParams({ topic: options.topic, part: String(options.part) });
-      if (after !== undefined) query.set("after", after);
-      const response = await this.#request("read-newest", {
-        method: "GET",
-        path: `/-/log-newest?${query}`,
-      });
-      if (response.status !== 200) return { outcome: "refused", status: response.status };
-      const page = this.#parse("read-newest", newestSchema, response);
+      const page = await this.#readNewestPage(options, after);
+      if ("outcome" in page) return page;
       // Later pages may be newer than the first: return the first page's end, so that the caller
       // reads all later records.
       end ??= page.end;
@@ -187,6 +187,29 @@
     }
   }
 
+  /** Reads a page; a page after others is read again if its response is lost, to keep the others. */
+  async #readNewestPage(
+    options: Partition,
+    after: string | undefined,
+  ): Promise<z.output<typeof newestSchema> | { outcome: "refused"; status: number }> {
+    const step = "read-newest";
+    const query = new URLSearchParams({ topic: options.topic, part: String(options.part) });
+    if (after !== undefined) query.set("after", after);
+    const request = { method: "GET", path: `/-/log-newest?${query}` } as const;
+    const maximumAttempts = after === undefined ? 1 : MAXIMUM_PAGE_ATTEMPTS;
+    for (let attempt = 1;; attempt += 1) {
+      try {
+        const response = await this.#request(step, request);
+        if (response.status !== 200) return { outcome: "refused", status: response.status };
+        return this.#parse(step, newestSchema, response);
+      } catch (error) {
+        if (attempt === maximumAttempts || !(error instanceof NoResponseError)) throw error;
+        const reason = getErrorMessage(error);
+        this.#log("store-page-lost", { step, peer: this.#link.address, after, attempt, reason });
+      }
+    }
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#link.close();
--- a/src/platform/store_ports_test.ts
+++ b/src/platform/store_ports_test.ts
@@ -38,7 +38,7 @@
   const storeStandIn = StoreStandIn.create({
     chooseFault: () => refusals-- > 0 ? StoreFault.Busy : StoreFault.None,
   });
-  const store = StoreClient.create(await storeStandIn.listen());
+  const store = StoreClient.create(await storeStandIn.listen(), noLog);
   const owner = createOwner(store, 1);
   t.teardown(() => (owner.task.stop(), store.close(), storeStandIn.close()));
   const outcomes = await Promise.all([owner.writeStatus(false), owner.writeStatus(true)]);
@@ -48,7 +48,7 @@
 
 test("a status of a superseded owner does not overwrite one of a later owner", async (t) => {
   const storeStandIn = StoreStandIn.create();
-  const store = StoreClient.create(await storeStandIn.listen());
+  const store = StoreClient.create(await storeStandIn.listen(), noLog);
   const [earlier, later] = [createOwner(store, 1), createOwner(store, 2)];
   t.teardown(() => (earlier.task.stop(), later.task.stop(), store.close(), storeStandIn.close()));
   const outcomes = [
@@ -61,7 +61,7 @@
 
 test("entries whose upload takes longer than the usual response are stored on a slow link", async (t) => {
   const storeStandIn = StoreStandIn.create({ bytesPerMillisecond: 200 });
-  const store = StoreClient.create(await storeStandIn.listen());
+  const store = StoreClient.create(await storeStandIn.listen(), noLog);
   let appends = 0;
   storeStandIn.chooseFault = () => {
     appends += 1;
@@ -85,3 +85,36 @@
   const timeout = new Promise<string>((resolve) => setTimeout(() => resolve("not stored"), 8_000));
   t.snapshot({ outcome: await Promise.race([stored, timeout]), appends });
 });
+
+test("a lost page does not make a take-over read the journal from its start", async (t) => {
+  const storeStandIn = StoreStandIn.create();
+  const events: string[] = [];
+  const store = StoreClient.create(
+    await storeStandIn.listen(),
+    (event, fields) => events.push(`${event} after ${String(fields?.["after"])}`),
+  );
+  t.teardown(() => (store.close(), storeStandIn.close()));
+  // The store returns 500 entries a page.
+  for (let number = 0; number < 1_200; number += 1) {
+    storeStandIn.put("keyed.journal", `job/${String(number).padStart(4, "0")}`, number);
+  }
+  const pages: string[] = [];
+  storeStandIn.chooseFault = (path) => {
+    const after = new URL(path, "http://store").searchParams.get("after") ?? "start";
+    pages.push(after);
+    const isFirstRequest = pages.filter((page) => page === after).length === 1;
+    return after !== "start" && isFirstRequest ? StoreFault.AnswerLost : StoreFault.None;
+  };
+  const journalStore = createJournalStore(store);
+  let entries: unknown[] | undefined;
+  for (let attempt = 1; entries === undefined && attempt <= 5; attempt += 1) {
+    pages.length = 0;
+    events.length = 0;
+    entries = await journalStore.readAll();
+  }
+  t.snapshot({
+    entries: entries?.length,
+    pages: [...new Set(pages)],
+    events: [...new Set(events)],
+  });
+});
