Take the decisions on calls out of the front's and the owner's tasks

FrontTask and OwnerTask decided between timers and sockets what a caller is told, so only whole processes could show a wrong answer. PendingCall now decides what the deliveries of a call mean for its caller, CallControl answers a delivered call from the owner's jobs; the tasks keep their messages, timers and links.

--- a/src/front/front_task.ts
+++ b/src/front/front_task.ts
@@ -5,17 +5,10 @@
 import { parseSocketAddress } from "../links/socket_address.ts";
 import type { OwnershipView } from "../ownership/ownership_task.ts";
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
-import {
-  type Answer,
-  AnswerOutcome,
-  authorizeCall,
-  type Call,
-  CallKind,
-  createUnavailable,
-  isRefusal,
-} from "./call.ts";
+import { type Answer, authorizeCall, type Call, createUnavailable, isRefusal } from "./call.ts";
 import type { ForwardedCall } from "./call_frame.ts";
 import { OwnerLinkTask } from "./owner_link_task.ts";
+import { PendingCall } from "./pending_call.ts";
 
 /** The interval at which pending calls are checked, in milliseconds. */
 const TICK_INTERVAL_MILLISECONDS = 50;
@@ -26,18 +19,6 @@
 /** The delay before a call is delivered to the owner again, in milliseconds. */
 const REDELIVERY_DELAY_MILLISECONDS = 150;
 
-interface PendingCall {
-  call: ForwardedCall;
-  deadlineAt: number;
-  receivedAt: number;
-  /** How often it was delivered to an owner. */
-  deliveryCount: number;
-  deliveredAt: number;
-  /** Whether it was delivered to the current owner, which has not answered yet. */
-  isAwaitingAnswer: boolean;
-  reply: Reply<Answer>;
-}
-
 /** The messages of a `FrontTask`. */
 export type FrontMessage =
   | { kind: "call"; call: Call; timeoutMilliseconds: number; reply: Reply<Answer> }
@@ -149,20 +130,18 @@
     if (isRefusal(authorized)) return respond(authorized);
     this.#lastNumber += 1;
     const number = this.#lastNumber;
-    this.#pending.set(number, {
+    const pending = PendingCall.create({
       call: {
         ...call,
         version: configuration.version,
         queue: authorized.queue.name,
         customer: authorized.customer?.name ?? "",
       },
-      deadlineAt: startedAt + timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
       receivedAt: startedAt,
-      deliveryCount: 0,
-      deliveredAt: 0,
-      isAwaitingAnswer: false,
+      deadlineAt: startedAt + timeoutMilliseconds - ANSWER_MARGIN_MILLISECONDS,
       reply: respond,
     });
+    this.#pending.set(number, pending);
     this.#deliver(number);
   }
 
@@ -211,17 +190,15 @@
     if (pending === undefined || this.#view?.claim === undefined) return;
     if (this.#view.claim.isReleased) return;
     const epoch = this.#getEpoch();
-    pending.deliveredAt = performance.now();
+    pending.triedAt = performance.now();
     if (this.#view.isMine) {
-      pending.isAwaitingAnswer = true;
-      pending.deliveryCount += 1;
+      pending.addDelivery();
       this.#options.deliverLocally(
         pending.call,
         (answer) => this.post({ kind: "answered", number, answer, epoch }),
       );
     } else if (this.#link?.isOpen()) {
-      pending.isAwaitingAnswer = true;
-      pending.deliveryCount += 1;
+      pending.addDelivery();
       this.#link.post({ kind: "call", number, call: pending.call });
     }
   }
@@ -229,39 +206,28 @@
   #handleAnswer(number: number, answer: Answer, epoch: number): void {
     const pending = this.#pending.get(number);
     if (pending === undefined) return;
-    if (answer.outcome === AnswerOutcome.NotOwner) {
+    const decided = pending.decideAnswer(answer);
+    if (decided === undefined) {
       if (epoch === this.#getEpoch()) pending.isAwaitingAnswer = false;
       return;
     }
-    // The job of an earlier delivery may have been stored, so `Unavailable` would be wrong.
-    const isInDoubt = answer.outcome === AnswerOutcome.Unavailable && pending.deliveryCount > 1 &&
-      pending.call.kind === CallKind.Submit;
-    const reason = "an earlier delivery of this job may have been stored";
     this.#pending.delete(number);
-    pending.reply(isInDoubt ? { outcome: AnswerOutcome.InDoubt, reason } : answer);
+    pending.reply(decided);
   }
 
   #tick(): void {
     const now = performance.now();
     for (const [number, pending] of this.#pending) {
-      const hasNoOwner = pending.deliveryCount === 0 &&
+      const hasNoOwner = !pending.isDelivered() &&
         now - pending.receivedAt > OWNER_WAIT_TIMEOUT_MILLISECONDS;
-      if (now >= pending.deadlineAt || hasNoOwner) this.#expire(number, pending);
-      else if (
-        !pending.isAwaitingAnswer && now - pending.deliveredAt > REDELIVERY_DELAY_MILLISECONDS
+      if (now >= pending.deadlineAt || hasNoOwner) {
+        this.#pending.delete(number);
+        pending.reply(pending.decideExpiry());
+      } else if (
+        !pending.isAwaitingAnswer && now - pending.triedAt > REDELIVERY_DELAY_MILLISECONDS
       ) {
         this.#deliver(number);
       }
     }
   }
-
-  #expire(number: number, pending: PendingCall): void {
-    this.#pending.delete(number);
-    const isInDoubt = pending.deliveryCount > 0 && pending.call.kind === CallKind.Submit;
-    pending.reply(
-      isInDoubt
-        ? { outcome: AnswerOutcome.InDoubt, reason: "the owner did not answer in time" }
-        : createUnavailable("no owner could be reached"),
-    );
-  }
 }
--- /dev/null
+++ b/src/front/pending_call.ts
@@ -0,0 +1,75 @@
+/** A caller's call that its front delivers to the owner, and again until an owner answers. */
+
+import type { Reply } from "../tasks/mod.ts";
+import { type Answer, AnswerOutcome, CallKind, createUnavailable } from "./call.ts";
+import type { ForwardedCall } from "./call_frame.ts";
+
+/** Options of a `PendingCall`. */
+export interface PendingCallOptions {
+  /** The call. */
+  call: ForwardedCall;
+  /** When it was received, on the monotonic clock, in milliseconds. */
+  receivedAt: number;
+  /** When it must be answered, on the monotonic clock, in milliseconds. */
+  deadlineAt: number;
+  /** Answers the caller. */
+  reply: Reply<Answer>;
+}
+
+/** Owns the course of a call's deliveries, and decides what its caller is told. */
+export class PendingCall {
+  /** The call. */
+  readonly call: ForwardedCall;
+  /** When it was received, on the monotonic clock, in milliseconds. */
+  readonly receivedAt: number;
+  /** When it must be answered, on the monotonic clock, in milliseconds. */
+  readonly deadlineAt: number;
+  /** Answers the caller. */
+  readonly reply: Reply<Answer>;
+  /** When its last delivery was tried, on the monotonic clock, in milliseconds. */
+  triedAt = 0;
+  /** Whether it was delivered to the current owner, which has not answered yet. */
+  isAwaitingAnswer = false;
+  #deliveryCount = 0;
+
+  private constructor(options: PendingCallOptions) {
+    this.call = options.call;
+    this.receivedAt = options.receivedAt;
+    this.deadlineAt = options.deadlineAt;
+    this.reply = options.reply;
+  }
+
+  /** Creates a call that has not been delivered yet. */
+  static create(options: PendingCallOptions): PendingCall {
+    return new PendingCall(options);
+  }
+
+  /** Gets whether it was delivered to an owner. */
+  isDelivered(): boolean {
+    return this.#deliveryCount > 0;
+  }
+
+  /** Records a delivery to the current owner. */
+  addDelivery(): void {
+    this.isAwaitingAnswer = true;
+    this.#deliveryCount += 1;
+  }
+
+  /** Decides what the caller is told after an answer to a delivery; undefined if nothing yet. */
+  decideAnswer(answer: Answer): Answer | undefined {
+    if (answer.outcome === AnswerOutcome.NotOwner) return undefined;
+    // The job of an earlier delivery may have been stored, so `Unavailable` would be wrong.
+    const isInDoubt = answer.outcome === AnswerOutcome.Unavailable && this.#deliveryCount > 1 &&
+      this.call.kind === CallKind.Submit;
+    const reason = "an earlier delivery of this job may have been stored";
+    return isInDoubt ? { outcome: AnswerOutcome.InDoubt, reason } : answer;
+  }
+
+  /** Decides what the caller is told if no owner answers in time. */
+  decideExpiry(): Answer {
+    const isInDoubt = this.#deliveryCount > 0 && this.call.kind === CallKind.Submit;
+    return isInDoubt
+      ? { outcome: AnswerOutcome.InDoubt, reason: "the owner did not answer in time" }
+      : createUnavailable("no owner could be reached");
+  }
+}
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -5,28 +5,17 @@
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { OperatorActions } from "../fleet/maintenance_wave.ts";
-import {
-  type Answer,
-  type AnswerBasis,
-  AnswerOutcome,
-  authorizeCall,
-  CallKind,
-  createUnavailable,
-  isRefusal,
-} from "../front/call.ts";
+import { type Answer, AnswerOutcome, CallKind } from "../front/call.ts";
 import type { ForwardedCall } from "../front/call_frame.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
-import {
-  CLAIM_VALIDITY_MILLISECONDS,
-  TAKE_OVER_TIMEOUT_MILLISECONDS,
-} from "../ownership/ownership_task.ts";
+import { CLAIM_VALIDITY_MILLISECONDS } from "../ownership/ownership_task.ts";
 import type { Claim, JournalStore } from "../ownership/ownership_ports.ts";
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
 import type { Advice } from "./advice_control.ts";
+import { CallControl } from "./call_control.ts";
 import { FleetOwner } from "./fleet_owner.ts";
 import type { OwnerLimits } from "./fleet_state.ts";
 import { EarlierHostOrders } from "./host_order_records.ts";
-import type { JobCounts } from "./job_control.ts";
 import { DEFAULT_CAPACITY_POLICY } from "./pool_need.ts";
 import { readStoredJobs } from "./job_records.ts";
 import type {
@@ -56,13 +45,6 @@
 const STORE_OUTAGE_CLAIM_AGE_MILLISECONDS = 1_200;
 /** How long journal writes may fail before submissions are rejected at once, in milliseconds. */
 const JOURNAL_OUTAGE_MILLISECONDS = 500;
-/**
- * The claim age from which the number of waiting jobs is no longer reported, in milliseconds: the
- * jobs interface allows it to be 2 s old.
- */
-const MAXIMUM_COUNT_CLAIM_AGE_MILLISECONDS = 2_000;
-/** When callers should retry during a store outage, in seconds. */
-const STORE_RETRY_AFTER_SECONDS = 2;
 
 /** The factor by which waits for leases are prolonged, since an executor's clock may be 2% slow. */
 const CLOCK_DRIFT_FACTOR = 1.03;
@@ -164,6 +146,7 @@
   #journal: JournalTask | undefined;
   #journalEntries: [string, Uint8Array][] | undefined;
   #owner: FleetOwner | undefined;
+  #calls: CallControl | undefined;
   #configuration: Configuration | undefined;
   #plannedActions: OperatorActions = { evacuatedZones: new Set(), waves: new Map() };
   #executorEntries: readonly ExecutorEntry[] | undefined;
@@ -358,6 +341,13 @@
       inDoubtMilliseconds: this.#getEarlierLeaseMilliseconds() * CLOCK_DRIFT_FACTOR,
     });
     this.#owner.setPlannedActions(this.#plannedActions);
+    this.#calls = CallControl.create({
+      owner: this.#owner,
+      epoch,
+      getConfiguration: () => this.#configuration!,
+      getClaimAge: () => this.#getClaimAge(),
+      isStoreUnavailable: () => this.#isStoreUnavailable(),
+    });
     this.#journalEntries = [];
     const milliseconds = startedAt - this.#startedAt;
     onMeasured("take-over", milliseconds);
@@ -479,82 +469,19 @@
   #handleCall(call: ForwardedCall, reply: Reply<Answer>): void {
     const isFenced = this.#isFencedByJournal || this.#owner?.isFenced() === true;
     if (this.#isHandingOver || isFenced) return reply({ outcome: AnswerOutcome.NotOwner });
-    if (this.#owner === undefined || this.#configuration === undefined) {
+    if (this.#calls === undefined) {
       this.#queuedCalls.push({ call, reply });
       return;
     }
     this.#updateContext();
-    const allowed = this.#authorize(call);
-    if ("outcome" in allowed) return reply(allowed);
-    const owner = this.#owner;
-    switch (call.kind) {
-      case CallKind.Submit:
-        this.#submit(call, allowed.queue, allowed.customer, reply);
-        break;
-      case CallKind.Cancel:
-        if (!this.#isKnown(call.jobId)) return reply(this.#createUnknownJobAnswer());
-        owner.cancel(call.jobId, () => reply({ outcome: AnswerOutcome.Cancelled }));
-        break;
-      case CallKind.State: {
-        const state = owner.getJobState(call.jobId);
-        if (!this.#isKnown(call.jobId)) return reply(this.#createUnknownJobAnswer());
-        if (state === undefined) return reply(createUnavailable("the job is being stored"));
-        const basis = this.#createBasis(allowed.queue, owner.countJob(call.jobId));
-        return reply({ outcome: AnswerOutcome.StateReturned, state, basis });
-      }
-      case CallKind.CountQueued:
-        return reply(this.#countWaiting(allowed.queue));
-    }
-    this.#scheduleFlush();
-  }
-
-  /** Authorizes a call again if it was authorized under an older configuration. */
-  #authorize(call: ForwardedCall): Answer | { queue: string; customer: string } {
-    const configuration = this.#configuration!;
-    if (configuration.version <= call.version) {
-      return { queue: call.queue, customer: call.customer };
-    }
-    const authorized = authorizeCall(call, configuration);
-    if (isRefusal(authorized)) return authorized;
-    return { queue: authorized.queue.name, customer: authorized.customer?.name ?? "" };
+    this.#calls.handle(call, reply);
+    if (call.kind === CallKind.Submit || call.kind === CallKind.Cancel) this.#scheduleFlush();
   }
 
-  #submit(call: ForwardedCall, queue: string, customer: string, reply: Reply<Answer>): void {
-    const { specification, jobId } = call;
-    if (specification === undefined) {
-      return reply({ outcome: AnswerOutcome.Malformed, reason: "the job is missing" });
-    }
-    const owner = this.#owner!;
-    const isKnown = this.#isKnown(jobId);
+  #isStoreUnavailable(): boolean {
     const failingSince = this.#journal?.getFailingSince();
-    const isStoreUnavailable = failingSince !== undefined &&
+    return failingSince !== undefined &&
       performance.now() - failingSince > JOURNAL_OUTAGE_MILLISECONDS;
-    if (!isKnown && isStoreUnavailable) {
-      return reply(createUnavailable("the store does not answer", STORE_RETRY_AFTER_SECONDS));
-    }
-    owner.submit({ id: jobId, queue, customer, specification }, () => {
-      reply({ outcome: AnswerOutcome.Accepted });
-    });
-  }
-
-  /** Gets whether a job is accepted or being stored, and so may run even without an answer. */
-  #isKnown(jobId: string): boolean {
-    const owner = this.#owner!;
-    return owner.getJobState(jobId) !== undefined || owner.isAccepting(jobId);
-  }
-
-  #createBasis(queue: string, counts: JobCounts): AnswerBasis {
-    const claimAge = Math.round(this.#getClaimAge());
-    return { queue, ...counts, ownerEpoch: this.#options.epoch, claimAge };
-  }
-
-  #countWaiting(queue: string): Answer {
-    if (this.#getClaimAge() >= MAXIMUM_COUNT_CLAIM_AGE_MILLISECONDS) {
-      return createUnavailable("another owner may have accepted jobs");
-    }
-    const waiting = this.#owner!.getQueuedJobCount(queue);
-    const basis = this.#createBasis(queue, this.#owner!.countQueue(queue));
-    return { outcome: AnswerOutcome.CountReturned, waiting, basis };
   }
 
   /** Gets the time since this owner's claim was last confirmed as the current one, in milliseconds. */
@@ -562,15 +489,6 @@
     return this.#options.claimClock.getElapsed() - this.#claimConfirmedAt;
   }
 
-  /** Creates the answer for an unknown job: definite only if no other owner can have taken over. */
-  #createUnknownJobAnswer(): Answer {
-    const age = this.#getClaimAge();
-    // After this time another owner may have accepted the job; answers to callers are not protected
-    // by a fence.
-    if (age < TAKE_OVER_TIMEOUT_MILLISECONDS) return { outcome: AnswerOutcome.UnknownJob };
-    return createUnavailable("the owner's claim may have expired");
-  }
-
   #handleFenced(): void {
     this.#isFencedByJournal = true;
     this.#rejectQueuedCalls();
