Answer a refused submission of a known job as in doubt

Cause: CallControl.handle refused by the newest configuration alone. It now tells a refused submission as in doubt (504) if the same customer's job of that id is accepted or being stored. It isn't told as accepted: a call whose key has been withdrawn for longer than operators allow must not succeed, and the owner can't know when its caller sent it. Refused cancels, states and counts stay as they are: a call that the owner refuses has no effect.

The other customer and the other job get the same refusals as before.

--- a/src/owner/call_control.ts
+++ b/src/owner/call_control.ts
@@ -54,7 +54,7 @@
   /** Handles a call and replies at once, or as soon as its effect is stored. */
   handle(call: ForwardedCall, reply: Reply<Answer>): void {
     const allowed = this.#authorize(call);
-    if ("outcome" in allowed) return reply(allowed);
+    if ("outcome" in allowed) return reply(this.#refuse(call, allowed));
     const { owner } = this.#options;
     switch (call.kind) {
       case CallKind.Submit:
@@ -88,7 +88,8 @@
   #submit(call: ForwardedCall, queue: string, customer: string, reply: Reply<Answer>): void {
     const { specification, jobId } = call;
     if (specification === undefined) {
-      return reply({ outcome: AnswerOutcome.Malformed, reason: "the job is missing" });
+      const reason = "the job is missing";
+      return reply(this.#refuse(call, { outcome: AnswerOutcome.Malformed, reason }));
     }
     const { isStoreUnavailable, owner } = this.#options;
     if (!this.#isKnown(jobId) && isStoreUnavailable()) {
@@ -99,10 +100,21 @@
     });
   }
 
+  /**
+   * Creates the answer to a call that is refused. A submission whose job may run all the same, since
+   * the same customer has submitted it before, is in doubt; others learn nothing about that job.
+   */
+  #refuse(call: ForwardedCall, refusal: Answer): Answer {
+    const mayRun = call.kind === CallKind.Submit &&
+      this.#options.owner.findCustomer(call.jobId) === call.customer;
+    if (!mayRun) return refusal;
+    const reason = `refused (${refusal.outcome}), but the job was submitted before and may run`;
+    return { outcome: AnswerOutcome.InDoubt, reason };
+  }
+
   /** Gets whether a job is accepted or being stored, and so may run even without an answer. */
   #isKnown(jobId: string): boolean {
-    const { owner } = this.#options;
-    return owner.getJobState(jobId) !== undefined || owner.isAccepting(jobId);
+    return this.#options.owner.findCustomer(jobId) !== undefined;
   }
 
   #createBasis(queue: string, counts: JobCounts): AnswerBasis {
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -232,9 +232,9 @@
     return this.#state.isFenced;
   }
 
-  /** Gets whether a submitted job is still being written to the journal. */
-  isAccepting(id: string): boolean {
-    return this.#jobs.isAccepting(id);
+  /** Gets the customer of a job that is accepted or being stored, and so may run. */
+  findCustomer(id: string): string | undefined {
+    return this.#jobs.findCustomer(id);
   }
 
   /** Gets the number of jobs in a queue that have not started. */
--- a/src/owner/job_control.ts
+++ b/src/owner/job_control.ts
@@ -30,6 +30,13 @@
   confirmed: number;
 }
 
+/** A job that is being stored. */
+interface JobBeingStored {
+  job: Job;
+  /** Called once it is stored. */
+  callbacks: (() => void)[];
+}
+
 /** The next occurrence of a repeating job. */
 interface NextOccurrence {
   occurrence: number;
@@ -41,8 +48,8 @@
 export class JobControl {
   readonly #state: FleetState;
   readonly #runs: RunControl;
-  /** The callbacks of the jobs that are being stored, by job id. */
-  readonly #accepting = new Map<string, (() => void)[]>();
+  /** The jobs that are being stored, by id. */
+  readonly #accepting = new Map<string, JobBeingStored>();
   readonly #shares = ShareMeter.create();
   /** The callbacks of the cancellations that are being stored, by job id. */
   readonly #cancelling = new Map<string, (() => void)[]>();
@@ -63,14 +70,14 @@
   submit(submission: Submission, onAccepted: () => void): void {
     const state = this.#state;
     if (state.jobs.has(submission.id)) return onAccepted();
-    const pendingCallbacks = this.#accepting.get(submission.id);
-    if (pendingCallbacks !== undefined) {
-      pendingCallbacks.push(onAccepted);
+    const accepting = this.#accepting.get(submission.id);
+    if (accepting !== undefined) {
+      accepting.callbacks.push(onAccepted);
       return;
     }
     const callbacks = [onAccepted];
-    this.#accepting.set(submission.id, callbacks);
     const job = Job.create({ ...submission, acceptedAt: state.timeOfDay });
+    this.#accepting.set(submission.id, { job, callbacks });
     // A later owner needs the queue to execute the job, even if operators have removed it since.
     const entries = [createAcceptedEntry(job), ...state.createQueueEntries(job.queue)];
     state.ports.write(entries, () => {
@@ -106,9 +113,9 @@
     return this.#state.jobs.get(id)?.getVisibleState();
   }
 
-  /** Gets whether a submitted job is still being written to the journal. */
-  isAccepting(id: string): boolean {
-    return this.#accepting.has(id);
+  /** Gets the customer of a job that is accepted or being stored, and so may run. */
+  findCustomer(id: string): string | undefined {
+    return (this.#state.jobs.get(id) ?? this.#accepting.get(id)?.job)?.customer;
   }
 
   /** Gets the number of a queue's jobs of which no task has started. */
@@ -139,7 +146,7 @@
     const state = this.#state;
     const accepting = this.#accepting.get(id);
     if (accepting !== undefined) {
-      accepting.push(() => this.cancel(id, onCancelled));
+      accepting.callbacks.push(() => this.cancel(id, onCancelled));
       return;
     }
     const job = state.jobs.get(id);
--- a/src/owner/owner_task_test.ts
+++ b/src/owner/owner_task_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
-import { Configuration } from "../fleet/configuration.ts";
+import { Configuration, type ConfigurationData } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import { type Answer, CallKind } from "../front/call.ts";
+import type { ForwardedCall } from "../front/call_frame.ts";
 import type { JournalAppendResult } from "../ownership/ownership_ports.ts";
 import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
@@ -9,7 +10,7 @@
 import { OwnerTask } from "./owner_task.ts";
 import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
 
-const CONFIGURATION = Configuration.create({
+const CONFIGURATION: ConfigurationData = {
   version: 1,
   queues: [
     createQueue({
@@ -23,7 +24,7 @@
   services: [{ name: "berthbook", isGuarded: false, isSpare: false }],
   customers: [],
   largestBodyBytes: 10_000,
-});
+};
 
 const SPECIFICATION = {
   text: "",
@@ -38,8 +39,12 @@
   age: (milliseconds: number) => void;
   /** Answers the oldest pending append of entries, if there is one. */
   answerAppend: (result: JournalAppendResult) => Promise<void>;
-  /** Sends a call and records the outcome of its answer. */
-  call: (kind: CallKind, jobId?: string) => void;
+  /** Sends a call, with the given fields overridden, and records the outcome of its answer. */
+  call: (kind: CallKind, jobId?: string, overrides?: Partial<ForwardedCall>) => void;
+  /** Publishes a configuration. */
+  configure: (configuration: ConfigurationData) => void;
+  /** The keys of the journal entries written so far. */
+  written: string[];
   /** The outcomes of the calls answered so far. */
   told: string[];
   stop: () => void;
@@ -52,16 +57,18 @@
   let age = 0;
   const appends: ((result: JournalAppendResult) => void)[] = [];
   const told: string[] = [];
+  const written: string[] = [];
   const done = { outcome: OrderOutcome.Done };
   const order = () => Promise.resolve(done);
   const task = OwnerTask.create({
     epoch: 2,
     previousClaim: undefined,
     journalStore: {
-      append: (entries) =>
-        entries.length === 0
-          ? Promise.resolve({ outcome: "done" })
-          : new Promise((resolve) => appends.push(resolve)),
+      append: (entries) => {
+        if (entries.length === 0) return Promise.resolve({ outcome: "done" });
+        written.push(...entries.map(({ key }) => key));
+        return new Promise((resolve) => appends.push(resolve));
+      },
       readAll: () => Promise.resolve([]),
     },
     executors: {
@@ -82,22 +89,25 @@
     getWallClockTime: () => Date.now(),
     log: () => {},
   });
-  task.post({
-    kind: "configuration",
-    configuration: CONFIGURATION,
-    plannedActions: { evacuatedZones: new Set(), waves: new Map() },
-  });
+  const configure = (data: ConfigurationData) => {
+    const configuration = Configuration.create(data);
+    const plannedActions = { evacuatedZones: new Set<string>(), waves: new Map() };
+    task.post({ kind: "configuration", configuration, plannedActions });
+  };
+  configure(CONFIGURATION);
   task.post({ kind: "executors", entries });
   await processMessages();
   return {
     told,
+    written,
+    configure,
     age: (milliseconds) => age += milliseconds,
     answerAppend: async (result) => {
       await processMessages();
       appends.shift()?.(result);
       await processMessages();
     },
-    call: (kind, jobId = "") => {
+    call: (kind, jobId = "", overrides = {}) => {
       const call = {
         kind,
         jobId,
@@ -107,6 +117,7 @@
         queue: "berths",
         customer: "",
         ...(kind === CallKind.Submit ? { specification: SPECIFICATION } : {}),
+        ...overrides,
       };
       const reply = (answer: Answer) => {
         told.push([kind, answer.outcome, answer.state].filter((part) => part).join(" "));
@@ -182,3 +193,52 @@
   owner.stop();
   t.snapshot(owner.told);
 });
+
+test("a job that is known or being stored is never refused, whatever became of its key or queue", async (t) => {
+  const createCustomer = (name: string, keys: readonly string[]) => ({
+    name,
+    keys,
+    weight: 1,
+    ceiling: { cpu: 0, memory: 0, accelerators: 0 },
+  });
+  const [queue] = CONFIGURATION.queues;
+  const withKeys = {
+    ...CONFIGURATION,
+    queues: [{ ...queue!, isPublic: false }],
+    customers: [createCustomer("mine", ["k1"]), createCustomer("quay", ["k2"])],
+  };
+  const withoutKeys = {
+    ...withKeys,
+    version: 2,
+    customers: [createCustomer("mine", []), createCustomer("quay", [])],
+  };
+  const owner = await startOwner();
+  const [mine, quay] = [{ customer: "mine", key: "k1" }, { customer: "quay", key: "k2" }];
+  const callAll = async (title: string) => {
+    const callInTurn = async (label: string, calls: () => void) => {
+      owner.told.push(`${title}, ${label}:`);
+      calls();
+      await processMessages();
+    };
+    await callInTurn("its customer", () => {
+      owner.call(CallKind.Submit, "a1", mine);
+      for (const kind of [CallKind.State, CallKind.Cancel]) owner.call(kind, "a1", mine);
+      owner.call(CallKind.CountQueued, "", mine);
+    });
+    await callInTurn("a call without the job", () => {
+      owner.call(CallKind.Submit, "a1", { ...mine, version: 9, specification: undefined });
+    });
+    await callInTurn("another customer", () => owner.call(CallKind.Submit, "a1", quay));
+    await callInTurn("another job", () => owner.call(CallKind.Submit, "a2", mine));
+  };
+  owner.configure(withKeys);
+  owner.call(CallKind.Submit, "a1", mine);
+  owner.configure(withoutKeys);
+  await callAll("the keys are withdrawn while the job is being stored");
+  await owner.answerAppend({ outcome: "done" });
+  await callAll("the job is stored");
+  owner.configure({ ...withoutKeys, version: 3, queues: [] });
+  await callAll("the queue is removed");
+  owner.stop();
+  t.snapshot({ told: owner.told, written: owner.written });
+});
