Tell a caller that a submission was refused only if none of its deliveries may be stored

The owner that was cut off had stored the job without an answer; the front delivered the call again to the next owner, whose newer configuration lacks the key, and passed its 401 on.

Cause: the front took only 'unavailable' for doubtful, and counted deliveries rather than those whose outcome is unknown. PendingCall now counts the deliveries that no owner has answered; while there is one, no refusal of a later delivery passes, whatever its reason, and the caller gets 504. That holds also for an owner in this process that was closed and so never replies, and for a late refusal while the next owner has the call. An answer 'not the owner' proves that its delivery had no effect, so a refusal after only such answers is told as it is (before: 504 if it was 'unavailable', or if no owner answered in time).

--- a/src/front/call.ts
+++ b/src/front/call.ts
@@ -60,6 +60,14 @@
 } as const;
 export type AnswerOutcome = typeof AnswerOutcome[keyof typeof AnswerOutcome];
 
+/** The outcomes that state that a call was not carried out and never will be. */
+const REFUSED_OUTCOMES: ReadonlySet<AnswerOutcome> = new Set([
+  AnswerOutcome.UnknownQueue,
+  AnswerOutcome.InvalidKey,
+  AnswerOutcome.Malformed,
+  AnswerOutcome.Unavailable,
+]);
+
 /** The answer to a call. */
 export interface Answer {
   /** The outcome. */
@@ -121,6 +129,11 @@
   return "outcome" in result;
 }
 
+/** Gets whether an answer states that its call was not carried out and never will be. */
+export function isRefused(answer: Answer): boolean {
+  return REFUSED_OUTCOMES.has(answer.outcome);
+}
+
 /** Creates the answer to a call that was not carried out and should be retried. */
 export function createUnavailable(reason: string, retryAfterSeconds = 1): Answer {
   return { outcome: AnswerOutcome.Unavailable, reason, retryAfterSeconds };
--- a/src/front/pending_call.ts
+++ b/src/front/pending_call.ts
@@ -1,7 +1,7 @@
 /** A caller's call that its front delivers to the owner, and again until an owner answers. */
 
 import type { Reply } from "../tasks/mod.ts";
-import { type Answer, AnswerOutcome, CallKind, createUnavailable } from "./call.ts";
+import { type Answer, AnswerOutcome, CallKind, createUnavailable, isRefused } from "./call.ts";
 import type { ForwardedCall } from "./call_frame.ts";
 
 /** Options of a `PendingCall`. */
@@ -30,7 +30,9 @@
   triedAt = 0;
   /** Whether it was delivered to the current owner, which has not answered yet. */
   isAwaitingAnswer = false;
-  #deliveryCount = 0;
+  #isDelivered = false;
+  /** The number of deliveries that no owner has answered: each may have been carried out. */
+  #unansweredCount = 0;
 
   private constructor(options: PendingCallOptions) {
     this.call = options.call;
@@ -46,30 +48,34 @@
 
   /** Gets whether it was delivered to an owner. */
   isDelivered(): boolean {
-    return this.#deliveryCount > 0;
+    return this.#isDelivered;
   }
 
   /** Records a delivery to the current owner. */
   addDelivery(): void {
     this.isAwaitingAnswer = true;
-    this.#deliveryCount += 1;
+    this.#isDelivered = true;
+    this.#unansweredCount += 1;
   }
 
   /** Decides what the caller is told after an answer to a delivery; undefined if nothing yet. */
   decideAnswer(answer: Answer): Answer | undefined {
+    this.#unansweredCount -= 1;
     if (answer.outcome === AnswerOutcome.NotOwner) return undefined;
-    // The job of an earlier delivery may have been stored, so `Unavailable` would be wrong.
-    const isInDoubt = answer.outcome === AnswerOutcome.Unavailable && this.#deliveryCount > 1 &&
-      this.call.kind === CallKind.Submit;
-    const reason = "an earlier delivery of this job may have been stored";
-    return isInDoubt ? { outcome: AnswerOutcome.InDoubt, reason } : answer;
+    if (!isRefused(answer) || !this.#mayHaveEffect()) return answer;
+    const reason = `refused (${answer.outcome}), but an earlier delivery may have been carried out`;
+    return { outcome: AnswerOutcome.InDoubt, reason };
   }
 
   /** Decides what the caller is told if no owner answers in time. */
   decideExpiry(): Answer {
-    const isInDoubt = this.#deliveryCount > 0 && this.call.kind === CallKind.Submit;
-    return isInDoubt
+    return this.#mayHaveEffect()
       ? { outcome: AnswerOutcome.InDoubt, reason: "the owner did not answer in time" }
       : createUnavailable("no owner could be reached");
   }
+
+  /** Gets whether a delivery without an answer may have had an effect. */
+  #mayHaveEffect(): boolean {
+    return this.#unansweredCount > 0 && this.call.kind === CallKind.Submit;
+  }
 }
