Tell a caller that a cancel was refused only if no delivery of it may be stored

A cancel that was delivered and got no answer in time was told as 503, too.

PendingCall takes cancels like submissions now: in doubt (504) while a delivery has no answer. 'Unknown job' passes, since it comes only from an owner that is sure, and so do states and counts, whose deliveries have no effect.

--- a/src/front/front_task_test.ts
+++ b/src/front/front_task_test.ts
@@ -164,6 +164,11 @@
   t.snapshot(await playAll(CallKind.Submit, [...REFUSALS, AnswerOutcome.Accepted]));
 });
 
+test.serial("a cancel of which a delivery may be stored is never refused", async (t) => {
+  const answers = [...REFUSALS, AnswerOutcome.UnknownJob, AnswerOutcome.Cancelled];
+  t.snapshot(await playAll(CallKind.Cancel, answers));
+});
+
 test.serial("states and counts are refused as the owner says, since deliveries have no effect", async (t) => {
   t.snapshot({
     state: await playAll(CallKind.State, [...REFUSALS, AnswerOutcome.StateReturned]),
--- a/src/front/pending_call.ts
+++ b/src/front/pending_call.ts
@@ -76,6 +76,7 @@
 
   /** Gets whether a delivery without an answer may have had an effect. */
   #mayHaveEffect(): boolean {
-    return this.#unansweredCount > 0 && this.call.kind === CallKind.Submit;
+    const { kind } = this.call;
+    return this.#unansweredCount > 0 && (kind === CallKind.Submit || kind === CallKind.Cancel);
   }
 }
