Check in random runs that no refused job starts

FleetSimulation now has fronts in virtual time that use the program's own PendingCall, CallControl and authorization: answers and links are lost, deliveries come late or meet hosts that are not the owner, owners change, and operators withdraw keys, remove queues and give both back between deliveries; callers repeat what is in doubt at another front.

SubmissionChecker reports REFUSED if a task starts and each attempt was refused or if the owner refuses a job that it knows, and CONFIG if something is accepted or runs that was sent only after its key's withdrawal applied everywhere. Both are seen to fail on falsified input.

--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -3,12 +3,15 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import type { EventLog } from "../../events/mod.ts";
-import { Configuration } from "../../fleet/configuration.ts";
+import { Configuration, type ConfigurationData } from "../../fleet/configuration.ts";
 import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
 import type { Host } from "../../fleet/host.ts";
 import type { JobSpecification } from "../../fleet/job_specification.ts";
 import type { MaintenanceWave } from "../../fleet/maintenance_wave.ts";
 import { RunEnd } from "../../fleet/run.ts";
+import { type Answer, AnswerOutcome, type Call, CallKind, isRefused } from "../../front/call.ts";
+import type { ForwardedCall } from "../../front/call_frame.ts";
+import { CallControl } from "../../owner/call_control.ts";
 import { FleetOwner } from "../../owner/fleet_owner.ts";
 import { DEFAULT_CAPACITY_POLICY } from "../../owner/pool_need.ts";
 import { EarlierHostOrders } from "../../owner/host_order_records.ts";
@@ -17,11 +20,14 @@
 import type { Claim } from "../../ownership/ownership_ports.ts";
 import { RENEWAL_INTERVAL_MILLISECONDS } from "../../ownership/ownership_task.ts";
 import { EventQueue } from "../../stand_ins/event_queue.ts";
+import type { Reply } from "../../tasks/mod.ts";
 import { ExecutorModel, type ModelRun, type RunPlan } from "./executor_model.ts";
+import { FrontModel } from "./front_model.ts";
 import { InvariantChecker } from "./invariant_checker.ts";
 import { ProviderModel } from "./provider_model.ts";
 import { LivenessChecker } from "./liveness_checker.ts";
 import type { FleetSimulationOptions, SimulationFaults } from "./simulation_options.ts";
+import { SubmissionChecker } from "./submission_checker.ts";
 
 /** The duration of the leases that the owner grants, in milliseconds. */
 const LEASE_MILLISECONDS = 3_000;
@@ -52,6 +58,20 @@
  * not 0, which would mean an unknown start.
  */
 const INCARNATION_AT_START_MILLISECONDS = 1_000;
+/** The number of fronts that callers submit jobs through. */
+const FRONT_COUNT = 3;
+/** The maximum delay of a message between a front and the owner, in milliseconds. */
+const MAXIMUM_LINK_DELAY_MILLISECONDS = 5;
+/** The maximum delay of a delivery that is carried out after its link was lost, in milliseconds. */
+const MAXIMUM_DELIVERY_DELAY_MILLISECONDS = 1_500;
+/** The maximum time until a front has a new link, to the same owner or a new one, in milliseconds. */
+const MAXIMUM_RECONNECTION_MILLISECONDS = 400;
+/** The maximum time until a host knows a configuration that was published, in milliseconds. */
+const MAXIMUM_CONFIGURATION_DELAY_MILLISECONDS = 800;
+/** The maximum time until a caller repeats a submission that is in doubt, in milliseconds. */
+const MAXIMUM_REPETITION_DELAY_MILLISECONDS = 300;
+/** The number of times that a caller submits a job that is in doubt. */
+const MAXIMUM_ATTEMPTS = 3;
 /** The virtual time of a step, in milliseconds; it equals the owner's tick interval. */
 const STEP_MILLISECONDS = 25;
 
@@ -69,6 +89,12 @@
   readonly #random: () => number;
   /** Random numbers for the journal's answers, which leave the sequence of all others unchanged. */
   readonly #journalRandom: () => number;
+  /** Random numbers for calls through fronts, which leave the sequence of all others unchanged. */
+  readonly #callRandom: () => number;
+  readonly #submissionChecker: SubmissionChecker;
+  readonly #fronts: readonly FrontModel[];
+  /** The newest configuration that each owner knows, by its fence. */
+  readonly #ownerConfigurations = new Map<number, Configuration>();
   readonly #models = new Map<string, ExecutorModel>();
   readonly #entries = new Map<string, ExecutorEntry>();
   readonly #journal = new Map<string, Uint8Array>();
@@ -84,7 +110,9 @@
   readonly #unlistedExecutors = new Set<string>();
   readonly #completedWaves = new Set<number>();
   readonly #events = EventQueue.create();
+  #published: ConfigurationData;
   #owner: FleetOwner | undefined;
+  #calls: CallControl | undefined;
   #fence = 0;
   #ownedSince = 0;
   /** When the last append was or will be stored. */
@@ -100,11 +128,24 @@
     this.#options = options;
     this.#random = createRandom(options.seed);
     this.#journalRandom = createRandom(options.seed + 1);
+    this.#callRandom = createRandom(options.seed + 2);
+    this.#published = options.configuration;
     this.#faults = options.faults;
+    this.#fronts = Array.from({ length: FRONT_COUNT }, () =>
+      FrontModel.create({
+        configuration: this.#createConfiguration(),
+        getNow: () => this.#now,
+        deliver: (front, call, reply) => this.#deliverCall(front, call, reply),
+      }));
     this.#invariantChecker = InvariantChecker.create({
       configuration: options.configuration,
       unavailabilityThresholdMilliseconds: UNAVAILABILITY_THRESHOLD_MILLISECONDS,
     });
+    this.#submissionChecker = SubmissionChecker.create({
+      configuration: options.configuration,
+      configurationDelayMilliseconds: MAXIMUM_CONFIGURATION_DELAY_MILLISECONDS,
+      onViolation: (rule, description) => this.#invariantChecker.addViolation(rule, description),
+    });
     this.#livenessChecker = LivenessChecker.create({
       configuration: options.configuration,
       onViolation: (rule, description) => this.#invariantChecker.addViolation(rule, description),
@@ -174,6 +215,43 @@
     );
   }
 
+  /** Submits a job through a front; a caller that is told that it is in doubt submits it again. */
+  submitThroughFront(id: string, queueName: string, key: string, job: JobSpecification): void {
+    const { queues, customers } = this.#options.configuration;
+    const { host, pathPrefix } = queues.find(({ name }) => name === queueName)!;
+    const customer = customers.find(({ keys }) => keys.includes(key))?.name ?? "";
+    this.#invariantChecker.addJob(id, { queue: queueName, customer, specification: job });
+    this.#livenessChecker.addJob(id, { queue: queueName, customer, specification: job });
+    this.#submit(
+      {
+        kind: CallKind.Submit,
+        host,
+        path: pathPrefix + id,
+        jobId: id,
+        key,
+        specification: job,
+      },
+      MAXIMUM_ATTEMPTS,
+    );
+  }
+
+  /** Publishes a configuration, which the owner and each front learn with a delay of their own. */
+  publish(configuration: ConfigurationData): void {
+    this.#published = configuration;
+    this.#submissionChecker.addConfiguration(configuration, this.#now);
+    const known = this.#createConfiguration();
+    const fence = this.#fence;
+    const getDelay = () => this.#callRandom() * MAXIMUM_CONFIGURATION_DELAY_MILLISECONDS;
+    this.#schedule(getDelay(), () => {
+      if (this.#ownerConfigurations.get(fence)!.version > known.version) return;
+      this.#ownerConfigurations.set(fence, known);
+      if (fence === this.#fence) this.#withOwner((owner) => owner.setConfiguration(known));
+    });
+    for (const front of this.#fronts) {
+      this.#schedule(getDelay(), () => front.setConfiguration(known));
+    }
+  }
+
   /** Cancels a job. */
   cancel(id: string): void {
     this.#invariantChecker.addCancelRequest(id);
@@ -266,7 +344,6 @@
 
   /** Replaces the owner. The previous one gets no answers, and its appends are not stored. */
   replaceOwner(): void {
-    const { falsifiedInput, configuration } = this.#options;
     const previousClaim = this.#getClaim();
     const stored = this.#getStored();
     this.#livenessChecker.addFault(this.#now);
@@ -274,7 +351,8 @@
     this.#ownedSince = this.#now;
     this.#lastAppendAnsweredAt = this.#now;
     const fence = this.#fence;
-    const data = falsifiedInput?.configuration?.(configuration) ?? configuration;
+    const configuration = this.#createConfiguration();
+    this.#ownerConfigurations.set(fence, configuration);
     this.#owner = FleetOwner.create({
       fence,
       limits: {
@@ -287,7 +365,7 @@
       log: IGNORE_EVENT,
       startedAt: this.#now,
       timeOfDay: this.#getTimeOfDay(),
-      configuration: Configuration.create(data),
+      configuration,
       jobs: readStoredJobs(stored).jobs,
       stored,
       capacityPolicy: this.#options.capacityPolicy ?? DEFAULT_CAPACITY_POLICY,
@@ -301,6 +379,14 @@
       executors: this.#getListedEntries(),
       inDoubtMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS + 200,
     });
+    this.#calls = CallControl.create({
+      owner: this.#owner,
+      epoch: fence,
+      getConfiguration: () => this.#ownerConfigurations.get(fence)!,
+      getClaimAge: () => 0,
+      isStoreUnavailable: () => this.#isChosen(this.#faults.unavailableFraction),
+    });
+    for (const front of this.#fronts) this.#reconnect(front);
     this.#checkJobStates();
     this.#notifyPlannedActions();
   }
@@ -351,6 +437,7 @@
       const pooledHosts = this.#provider.list().filter(({ pool }) => !this.#isSparePool(pool));
       this.pooledHostMilliseconds += pooledHosts.length * STEP_MILLISECONDS;
       this.#withOwner((owner) => owner.tick());
+      for (const front of this.#fronts) front.tick();
       this.#checkInvariants();
     }
     this.#now = end;
@@ -381,6 +468,74 @@
     owner.flush();
   }
 
+  /** Sends a submission through one of the fronts, and again if it is in doubt. */
+  #submit(call: Call & { key: string }, attempts: number): void {
+    const id = call.jobId;
+    const sentAt = this.#now;
+    this.#submissionChecker.addAttempt(id, call.key, sentAt);
+    const front = this.#fronts[Math.floor(this.#callRandom() * FRONT_COUNT)]!;
+    front.handle(call, (answer) => {
+      this.#countEvent(`told-${answer.outcome}`);
+      if (answer.outcome === AnswerOutcome.Accepted) {
+        this.#submissionChecker.handleAccepted(id, sentAt);
+        this.#invariantChecker.addAcceptedJob(id, this.#now);
+        this.#livenessChecker.addAcceptedJob(id);
+      } else if (isRefused(answer)) {
+        this.#submissionChecker.handleRefused(id, answer.outcome);
+      } else if (attempts > 1) {
+        this.#schedule(
+          this.#callRandom() * MAXIMUM_REPETITION_DELAY_MILLISECONDS,
+          () => this.#submit(call, attempts - 1),
+        );
+      }
+    });
+  }
+
+  /** Delivers a call to the present owner, which may be an earlier one when the call arrives. */
+  #deliverCall(front: FrontModel, call: ForwardedCall, reply: Reply<Answer>): void {
+    const { lateDeliveryFraction, lostAnswerFraction, notOwnerFraction } = this.#faults;
+    const [owner, calls, fence] = [this.#owner!, this.#calls!, this.#fence];
+    const getDelay = () => 1 + this.#callRandom() * (MAXIMUM_LINK_DELAY_MILLISECONDS - 1);
+    if (this.#isChosen(notOwnerFraction)) {
+      return this.#schedule(getDelay(), () => reply({ outcome: AnswerOutcome.NotOwner }));
+    }
+    const isLate = this.#isChosen(lateDeliveryFraction);
+    if (isLate) this.#reconnect(front);
+    const handle = () =>
+      calls.handle(call, (truth) => {
+        if (isRefused(truth) && owner.findCustomer(call.jobId) === call.customer) {
+          this.#invariantChecker.addViolation("REFUSED", `the owner knows ${call.jobId}`);
+        }
+        const answer = this.#options.falsifiedInput?.answer?.(truth) ?? truth;
+        if (isLate) return;
+        if (this.#isChosen(lostAnswerFraction)) return this.#reconnect(front);
+        this.#schedule(getDelay(), () => reply(answer));
+      });
+    const delay = isLate ? this.#callRandom() * MAXIMUM_DELIVERY_DELAY_MILLISECONDS : getDelay();
+    this.#schedule(delay, () => {
+      if (fence === this.#fence) this.#withOwner(handle);
+      else handle();
+    });
+  }
+
+  /** Gives a front a new link to the owner, over which it delivers its calls. */
+  #reconnect(front: FrontModel): void {
+    const delay = this.#callRandom() * MAXIMUM_RECONNECTION_MILLISECONDS;
+    this.#schedule(delay, () => front.deliverAll());
+  }
+
+  #isChosen(fraction = 0): boolean {
+    return fraction > 0 && this.#callRandom() < fraction;
+  }
+
+  /** Creates the newest configuration, as the owner and the fronts get it. */
+  #createConfiguration(): Configuration {
+    const { falsifiedInput } = this.#options;
+    return Configuration.create(
+      falsifiedInput?.configuration?.(this.#published) ?? this.#published,
+    );
+  }
+
   #createPorts(fence: number): OwnerPorts {
     const isCurrent = () => this.#fence === fence;
     const answer = (act: (owner: FleetOwner) => void) => {
@@ -557,6 +712,7 @@
       planRun: this.#options.planRun ?? ((task) => this.#planRun(task)),
       onStart: (run) => {
         this.#countEvent("started");
+        this.#submissionChecker.handleStart(run.task);
         this.#invariantChecker.handleStart(this.#entries.get(entry.id) ?? entry, run, {
           now: this.#now,
           isDeliveredLate: this.#isDeliveringLate,
--- a/src/platform/stand_in/simulation_options.ts
+++ b/src/platform/stand_in/simulation_options.ts
@@ -5,6 +5,7 @@
 import type { Host } from "../../fleet/host.ts";
 import type { JobSpecification } from "../../fleet/job_specification.ts";
 import type { MaintenanceWave } from "../../fleet/maintenance_wave.ts";
+import type { Answer } from "../../front/call.ts";
 import type { ExecutorReport } from "../../owner/owner_ports.ts";
 import type { CapacityPolicy } from "../../owner/pool_need.ts";
 import type { RunPlan } from "./executor_model.ts";
@@ -21,6 +22,17 @@
   refusedFraction?: number;
   /** The fraction of the journal's appends that are stored but answered late; 0 by default. */
   lateAppendFraction?: number;
+  /** The fraction of the owner's answers to fronts that are lost with their link; 0 by default. */
+  lostAnswerFraction?: number;
+  /**
+   * The fraction of the fronts' deliveries that are lost with their link and carried out late; 0 by
+   * default.
+   */
+  lateDeliveryFraction?: number;
+  /** The fraction of deliveries to a host that is not the owner; 0 by default. */
+  notOwnerFraction?: number;
+  /** The fraction of new jobs that meet an unavailable store; 0 by default. */
+  unavailableFraction?: number;
   /** The maximum additional delay of answers to orders, in milliseconds; 0 by default. */
   delayMilliseconds?: number;
 }
@@ -31,7 +43,7 @@
   entry?: (entry: ExecutorEntry) => ExecutorEntry;
   /** Changes the jobs that the owner gets. */
   job?: (job: JobSpecification) => JobSpecification;
-  /** Changes the configuration that the owner gets. */
+  /** Changes the configuration that the owner and the fronts get. */
   configuration?: (data: ConfigurationData) => ConfigurationData;
   /** Changes the maintenance waves that the owner gets. */
   wave?: (wave: MaintenanceWave) => MaintenanceWave;
@@ -43,6 +55,8 @@
   losesHostOrders?: boolean;
   /** Changes the journal entries that a new owner finds. */
   stored?: (entries: [string, Uint8Array][]) => [string, Uint8Array][];
+  /** Changes the owner's answers that the fronts get. */
+  answer?: (answer: Answer) => Answer;
   /** Changes the executors' reports that the owner gets. */
   report?: (report: ExecutorReport) => ExecutorReport;
 }
