Take an executor to which no link can be made as silent, instead of ending the process

What callers saw: once another writer had left an executor's entry with a port over 65,535 or an octet over 255, the owner's process ended as soon as it had taken over, the next owner likewise, and so on for as long as the entry was listed. No job was accepted or served in between.

Cause: such an address passes the decoder, and making the link throws ("Invalid URL"). The client made the link outside its `try`, so the order's promise was rejected; nobody handles that, and an unhandled rejection ends the process.

Evidence: the new test failed first with "Rejected promise returned by test ... TypeError: Invalid URL ... at new HttpLink". The entry point of the code before, started again whenever it ended, beside a store that lists one executor at 127.0.0.1:70000, ended by itself 12 times in 10 s, each time within 5 ms after "take-over-done".

Change: a link that can't be made is a request without a response: the order is unanswered, with a line in the log that names the step and the peer. The link that an executor had is closed only once the new one is made.

Measured: the test passes; the same 10 s beside the same store: ended by itself 0 times.

--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -156,12 +156,32 @@
     return { outcome: decodeOutcome(response), executorTime: parsed.data?.clockMs };
   }
 
+  /** Sends a request, and gets undefined if there is no response or no link can be made. */
   async #post(
     executor: ExecutorEntry,
     path: string,
     body: unknown,
     waitMilliseconds = 0,
   ): Promise<LinkResponse | undefined> {
+    try {
+      return await this.#request(executor, path, body, waitMilliseconds);
+    } catch (error) {
+      this.#log("executor-silent", {
+        executor: executor.id,
+        step: path,
+        peer: executor.address,
+        reason: getErrorMessage(error),
+      });
+      return undefined;
+    }
+  }
+
+  async #request(
+    executor: ExecutorEntry,
+    path: string,
+    body: unknown,
+    waitMilliseconds: number,
+  ): Promise<LinkResponse> {
     const { link, timeout } = this.#getLink(executor);
     const sentAt = performance.now();
     try {
@@ -177,13 +197,7 @@
       return response;
     } catch (error) {
       timeout.recordFailure();
-      this.#log("executor-silent", {
-        executor: executor.id,
-        step: path,
-        peer: executor.address,
-        reason: getErrorMessage(error),
-      });
-      return undefined;
+      throw error;
     }
   }
 
@@ -191,8 +205,8 @@
     const { id, address } = executor;
     const existing = this.#executorLinks.get(id);
     if (existing?.link.address === address) return existing;
-    existing?.link.close();
     const link = HttpLink.create({ address, connections: MAXIMUM_CONNECTIONS });
+    existing?.link.close();
     const executorLink = { link, timeout: AdaptiveTimeout.create() };
     this.#executorLinks.set(id, executorLink);
     return executorLink;
