List no executor whose entry gives an address, a capacity or a name that none can have

What callers saw: an entry of another writer counted as an executor though its port was over 65,535 or 0, an octet over 255, its capacity negative or 1e308, its service a name of 100,000 characters, or its bytes no UTF-8. The code behind the decoder then added its capacity up, asked it for reports five times a second and logged its names.

Cause: the decoder checked the types of the fields and, of an address, only its characters. Bytes that can't be read were replaced one by one instead of making the entry unreadable.

Evidence: the new test over odd entries failed first and listed 11 of 15 (among them "a port over 65,535", "an octet over 255", "a capacity beyond any machine", "a negative capacity").

Change: the decoder, the one place that all entries pass, checks ranges and lengths. The address is parsed as those of the settings are. The reason in the log names the field.

An entry that can't be used still replaces an earlier one of its id: the store keeps only the newest record of a key, so that a reader that starts later sees nothing else.

--- a/src/platform/published_records.ts
+++ b/src/platform/published_records.ts
@@ -1,9 +1,11 @@
 /** Decodes the records that operators and executors publish in the store's keyed topics. */
 
+import { isUtf8 } from "node:buffer";
 import { z } from "zod";
 import { Configuration } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { MaintenanceWave } from "../fleet/maintenance_wave.ts";
+import { parseSocketAddress } from "../links/socket_address.ts";
 import { parseJson } from "./store_client.ts";
 
 /** The key of the current configuration. */
@@ -14,6 +16,13 @@
 /** The maximum request body if the configuration sets none, in bytes. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 262_144;
 
+/** The maximum length of a name in an executor's entry, in characters. */
+const MAXIMUM_NAME_LENGTH = 200;
+/** The maximum number of labels of an executor. */
+const MAXIMUM_LABELS = 100;
+/** The maximum capacity of an executor, in thousandths of a core, MB or accelerators. */
+const MAXIMUM_CAPACITY_AMOUNT = 1e9;
+
 const resourcesSchema = z.object({
   cpu: z.number().default(0),
   memMb: z.number().default(0),
@@ -116,21 +125,32 @@
   return { number: wave, hosts: machines, durationMilliseconds: durationS * 1_000, ceiling };
 }
 
+const nameSchema = z.string().min(1).max(MAXIMUM_NAME_LENGTH);
+const capacityAmountSchema = z.number().min(0).max(MAXIMUM_CAPACITY_AMOUNT).default(0);
+
 const executorEntrySchema = z.object({
-  service: z.string(),
-  addr: z.string().regex(/^[0-9.]+:\d+$/),
-  zone: z.string(),
+  service: nameSchema,
+  addr: z.string().refine(isConnectable, { message: "expected IP:PORT" }),
+  zone: nameSchema,
   state: z.enum(["ready", "draining"]),
-  machine: z.string().optional(),
+  machine: z.string().max(MAXIMUM_NAME_LENGTH).optional(),
   born: z.number().int().default(0),
-  labels: z.array(z.string()).default([]),
-  capacity: resourcesSchema,
+  labels: z.array(z.string().max(MAXIMUM_NAME_LENGTH)).max(MAXIMUM_LABELS).default([]),
+  capacity: z.object({
+    cpu: capacityAmountSchema,
+    memMb: capacityAmountSchema,
+    gpu: capacityAmountSchema,
+  }),
 });
 
-/** Decodes an executor's entry, or gets the reason why it is invalid. */
+/** Decodes an executor's entry, or gets the reason why it is invalid. Other programs write there too. */
 export function decodeExecutorEntry(id: string, value: Buffer): ExecutorEntry | string {
+  if (!isUtf8(value)) return "not UTF-8";
   const parsed = executorEntrySchema.safeParse(parseJson(value));
-  if (!parsed.success) return parsed.error.issues[0]?.message ?? "unreadable";
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    return `${issue?.path.join(".")}: ${issue?.message}`;
+  }
   const { service, addr, zone, state, machine, born, labels, capacity } = parsed.data;
   return {
     id,
@@ -149,3 +169,9 @@
 export function decodeResources(value: z.output<typeof resourcesSchema>) {
   return { cpu: value.cpu, memory: value.memMb, accelerators: value.gpu };
 }
+
+/** Gets whether a text is an address that can be connected to. */
+function isConnectable(text: string): boolean {
+  const address = parseSocketAddress(text);
+  return address !== undefined && address.port > 0;
+}
--- /dev/null
+++ b/src/platform/published_state_test.ts
@@ -0,0 +1,115 @@
+import test from "ava";
+import fc from "fast-check";
+import type { EventLog } from "../events/mod.ts";
+import { getRunOptions } from "../tests/run_options.ts";
+import { ExecutorList } from "./published_state.ts";
+
+const GOOD_ENTRY = {
+  service: "berthbook",
+  addr: "10.0.0.1:8080",
+  zone: "zl-a",
+  version: "v1",
+  slots: 8,
+  state: "ready",
+  machine: "m-1",
+  born: 1_790_000_000_000,
+  labels: ["a", "r1"],
+  capacity: { cpu: 8_000, memMb: 16_000 },
+  seq: 1,
+};
+const NESTING_DEPTH = 20_000;
+const MAXIMUM_AMOUNT = 1e9;
+
+function encode(parts: Record<string, unknown>): Buffer {
+  return Buffer.from(JSON.stringify({ ...GOOD_ENTRY, ...parts }));
+}
+
+/** Encodes the good entry with a field whose JSON text is given, as not every value has one. */
+function encodeWithText(field: string, text: string): Buffer {
+  return Buffer.from(`${JSON.stringify(GOOD_ENTRY).slice(0, -1)},"${field}":${text}}`);
+}
+
+const DEEP_ARRAY = "[".repeat(NESTING_DEPTH) + "]".repeat(NESTING_DEPTH);
+const DEEP_OBJECT = '{"a":'.repeat(NESTING_DEPTH) + "0" + "}".repeat(NESTING_DEPTH);
+
+const ODD_VALUES: Record<string, Buffer> = {
+  "a port over 65,535": encode({ addr: "10.0.0.2:70000" }),
+  "port 0": encode({ addr: "10.0.0.2:0" }),
+  "an octet over 255": encode({ addr: "10.0.0.256:8080" }),
+  "an address without octets": encode({ addr: "...:8080" }),
+  "a capacity beyond any machine": encode({ capacity: { cpu: 1e308 } }),
+  "an infinite capacity": encodeWithText("capacity", '{"cpu":1e999}'),
+  "a negative capacity": encode({ capacity: { cpu: 8_000, memMb: -1 } }),
+  "a deeply nested array": encodeWithText("labels", DEEP_ARRAY),
+  "a deeply nested entry": Buffer.from(DEEP_OBJECT),
+  "a zone without a name": encode({ zone: "" }),
+  "a service with a long name": encode({ service: "b".repeat(100_000) }),
+  "a long label": encode({ labels: ["l".repeat(100_000)] }),
+  "too many labels": encode({ labels: Array.from({ length: 10_000 }, () => "") }),
+  "bytes that are no text": Buffer.concat([encode({}).subarray(0, 12), Buffer.from([0xff, 0xfe])]),
+  "a name with bytes that are no text": Buffer.from(
+    JSON.stringify(GOOD_ENTRY).replace("zl-a", "zl-\xff"),
+    "latin1",
+  ),
+};
+
+/** Creates an empty list, and collects the reasons for which it leaves entries out. */
+function createList() {
+  const reasons: Record<string, unknown> = {};
+  const log: EventLog = (_event, fields) =>
+    reasons[String(fields?.["executor"])] = fields?.["reason"];
+  return { list: ExecutorList.create(log), reasons };
+}
+
+test("an odd entry names no executor, and the others hold", (t) => {
+  const { list, reasons } = createList();
+  const odd = Object.entries(ODD_VALUES).map(([key, value]) => ({ key, value }));
+  const changes = [...odd, { key: "i-good", value: encode({}) }, ...odd];
+  list.apply({ changes, isSnapshot: true, asOf: 0, end: changes.length });
+  t.deepEqual(list.getEntries().map(({ id }) => id), ["i-good"]);
+  t.snapshot({ reasons, listed: list.getEntries() });
+});
+
+test("whatever is written beside it, a good entry holds, and each listed one can be used", (t) => {
+  const oddNumber = fc.constantFrom("1e999", "-1e999", "1e308", "-1", "0.5", "9007199254740993");
+  const oddText = fc.oneof(
+    fc.json({ maxDepth: 3 }),
+    oddNumber,
+    fc.constantFrom(DEEP_ARRAY, DEEP_OBJECT, '"' + "x".repeat(5_000) + '"'),
+    fc.nat(99_999).map((port) => `"10.0.0.${port % 300}:${port}"`),
+    oddNumber.map((number) => `{"cpu":${number},"memMb":${number},"gpu":${number}}`),
+  );
+  const value = fc.oneof(
+    fc.uint8Array({ maxLength: 60 }).map((bytes) => Buffer.from(bytes)),
+    fc.json().map((text) => Buffer.from(text)),
+    fc.tuple(fc.constantFrom(...Object.keys(GOOD_ENTRY)), oddText)
+      .map(([field, text]) => encodeWithText(field, text)),
+  );
+  const key = fc.constantFrom("i-1", "i-2", "__proto__");
+  const updates = fc.array(
+    fc.record({ changes: fc.array(fc.record({ key, value })), isSnapshot: fc.boolean() }),
+    { minLength: 1, maxLength: 4 },
+  );
+  let oddListed = 0;
+  fc.assert(
+    fc.property(updates, (applied) => {
+      const { list } = createList();
+      for (const { changes, isSnapshot } of applied) {
+        const good = { key: "i-good", value: encode({}) };
+        list.apply({ changes: [good, ...changes], isSnapshot, asOf: 0, end: 0 });
+        const entries = list.getEntries();
+        oddListed += entries.length - 1;
+        if (!entries.some(({ id }) => id === "i-good")) throw new Error("the good entry is lost");
+        for (const { address, capacity } of entries) {
+          if (new URL(`http://${address}`).port === "0") throw new Error(`no port: ${address}`);
+          const amounts = Object.values(capacity);
+          if (amounts.some((amount) => !(amount >= 0 && amount <= MAXIMUM_AMOUNT))) {
+            throw new Error(`capacity ${amounts.join(" ")}`);
+          }
+        }
+      }
+    }),
+    { ...getRunOptions({ seed: 20261205, numRuns: 500 }), includeErrorInReport: true },
+  );
+  t.true(oddListed > 100, `only ${oddListed} odd entries were listed`);
+});
