--- a/src/platform/published_records.ts
+++ b/src/platform/published_records.ts
@@ -125,6 +125,8 @@
   return { number: wave, hosts: machines, durationMilliseconds: durationS * 1_000, ceiling };
 }
 
+/** An id that fits in an HTTP header and, with a prefix, in a key of the store. */
+const idSchema = z.string().regex(/^[!-~]+$/).max(MAXIMUM_NAME_LENGTH);
 const nameSchema = z.string().min(1).max(MAXIMUM_NAME_LENGTH);
 const capacityAmountSchema = z.number().min(0).max(MAXIMUM_CAPACITY_AMOUNT).default(0);
 
@@ -145,6 +147,7 @@
 
 /** Decodes an executor's entry, or gets the reason why it is invalid. Other programs write there too. */
 export function decodeExecutorEntry(id: string, value: Buffer): ExecutorEntry | string {
+  if (!idSchema.safeParse(id).success) return "the id is not usable";
   if (!isUtf8(value)) return "not UTF-8";
   const parsed = executorEntrySchema.safeParse(parseJson(value));
   if (!parsed.success) {
--- a/src/platform/published_state_test.ts
+++ b/src/platform/published_state_test.ts
@@ -1,8 +1,10 @@
 import test from "ava";
 import fc from "fast-check";
 import type { EventLog } from "../events/mod.ts";
+import { createExecutorDeletionEntry, readStoredExecutors } from "../owner/executor_records.ts";
 import { getRunOptions } from "../tests/run_options.ts";
 import { ExecutorList } from "./published_state.ts";
+import { decodeKeyedRecord, encodeKeyedRecord } from "./store_client.ts";
 
 const GOOD_ENTRY = {
   service: "berthbook",
@@ -63,13 +65,40 @@
 
 test("an odd entry names no executor, and the others hold", (t) => {
   const { list, reasons } = createList();
-  const odd = Object.entries(ODD_VALUES).map(([key, value]) => ({ key, value }));
+  const odd = Object.entries(ODD_VALUES).map(([name, value]) => ({
+    key: name.replaceAll(" ", "-"),
+    value,
+  }));
   const changes = [...odd, { key: "i-good", value: encode({}) }, ...odd];
   list.apply({ changes, isSnapshot: true, asOf: 0, end: changes.length });
   t.deepEqual(list.getEntries().map(({ id }) => id), ["i-good"]);
   t.snapshot({ reasons, listed: list.getEntries() });
 });
 
+test("no listed id leaves the journal a record that the next owner can't read", (t) => {
+  const ids: Record<string, Buffer> = {
+    "as long as a key can be": Buffer.alloc(255, "i"),
+    "an empty one": Buffer.alloc(0),
+    "bytes that are no text": Buffer.alloc(86, 0xff),
+    "beyond what a header can hold": Buffer.from("i-\u2603"),
+    "with a line break": Buffer.from("i-1\r\nfence: 9"),
+    "a usual one": Buffer.from("i-0ace943662"),
+  };
+  const { list, reasons } = createList();
+  const byId = Object.entries(ids).map(([name, id]) => {
+    const record = Buffer.concat([Buffer.from([id.length]), id, encode({})]);
+    list.apply({ changes: [decodeKeyedRecord(record)!], isSnapshot: true, asOf: 0, end: 0 });
+    const records = list.getEntries().map((entry) =>
+      decodeKeyedRecord(encodeKeyedRecord(createExecutorDeletionEntry(entry.id).key, undefined))!
+    );
+    // A record without a value deletes its key.
+    const remaining = records.filter(({ value }) => value.length > 0);
+    readStoredExecutors(remaining.map(({ key, value }) => [key, value]));
+    return [name, { written: records.map(({ key }) => key), remaining: remaining.length }];
+  });
+  t.snapshot({ byId: Object.fromEntries(byId), reasons });
+});
+
 test("whatever is written beside it, a good entry holds, and each listed one can be used", (t) => {
   const oddNumber = fc.constantFrom("1e999", "-1e999", "1e308", "-1", "0.5", "9007199254740993");
   const oddText = fc.oneof(
