List no executor whose entry lacks a start time or gives one that is none

What callers saw: nothing but slow tasks; on the executors a task ran twice at the same time. It happened after an entry under the id of an executor that runs tasks had no `born`, 0, or one in another unit such as microseconds, followed by the executor's own entry or by none.

Cause: an entry without a start time counted as one with 0. The executor's own next entry, whose start time is later, then looked like a restart; a time in microseconds did so at once, and the executor's own entries were ignored from then on. After a restart tasks are started elsewhere.

Evidence: the new test failed first: "j.0.0.0" was started twice with the start times 0, none and in microseconds.

Change: the start time is required, a whole number above 0, and before 2100. The platform says that whatever an executor says of itself has it.

--- a/src/platform/published_records.ts
+++ b/src/platform/published_records.ts
@@ -22,6 +22,8 @@
 const MAXIMUM_LABELS = 100;
 /** The maximum capacity of an executor, in thousandths of a core, MB or accelerators. */
 const MAXIMUM_CAPACITY_AMOUNT = 1e9;
+/** The start time from which an entry's writer uses another unit, in milliseconds since 1970. */
+const MAXIMUM_START_TIME = Date.UTC(2100);
 
 const resourcesSchema = z.object({
   cpu: z.number().default(0),
@@ -136,7 +138,7 @@
   zone: nameSchema,
   state: z.enum(["ready", "draining"]),
   machine: z.string().max(MAXIMUM_NAME_LENGTH).optional(),
-  born: z.number().int().default(0),
+  born: z.number().int().min(1).max(MAXIMUM_START_TIME),
   labels: z.array(z.string().max(MAXIMUM_NAME_LENGTH)).max(MAXIMUM_LABELS).default([]),
   capacity: z.object({
     cpu: capacityAmountSchema,
--- a/src/platform/published_state_test.ts
+++ b/src/platform/published_state_test.ts
@@ -1,7 +1,11 @@
 import test from "ava";
 import fc from "fast-check";
 import type { EventLog } from "../events/mod.ts";
+import { Configuration } from "../fleet/configuration.ts";
 import { createExecutorDeletionEntry, readStoredExecutors } from "../owner/executor_records.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createOwnerHarness } from "../stand_ins/owner_harness.ts";
+import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { getRunOptions } from "../tests/run_options.ts";
 import { ExecutorList } from "./published_state.ts";
 import { decodeKeyedRecord, encodeKeyedRecord } from "./store_client.ts";
@@ -99,6 +103,55 @@
   t.snapshot({ byId: Object.fromEntries(byId), reasons });
 });
 
+test("an entry with an odd start time does not end the executor of its id, whose task runs on", (t) => {
+  const oddStartTimes: Record<string, Buffer> = {
+    "none": encode({ born: undefined }),
+    "text": encode({ born: "1790000000000" }),
+    "0": encode({ born: 0 }),
+    "a fraction": encode({ born: 1_790_000_000_000.5 }),
+    "in microseconds": encode({ born: 1_790_000_000_000_000 }),
+    "beyond whole numbers": encodeWithText("born", "1e300"),
+  };
+  const startsByTime = Object.entries(oddStartTimes).map(([name, odd]) => {
+    const { list } = createList();
+    const harness = createOwnerHarness({
+      configuration: Configuration.create({
+        version: 1,
+        queues: [createQueue({ service: GOOD_ENTRY.service })],
+        services: [{ name: GOOD_ENTRY.service, isGuarded: false, isSpare: false }],
+        customers: [],
+        largestBodyBytes: 1,
+      }),
+      executors: [],
+    });
+    const write = (key: string, value: Buffer) => {
+      list.apply({ changes: [{ key, value }], isSnapshot: false, asOf: 0, end: 0 });
+      harness.advance(() => harness.owner.setExecutors(list.getEntries()));
+    };
+    for (const id of ["i-1", "i-2"]) {
+      write(id, encode({}));
+      harness.reportNoRuns(createListedExecutor({ id, born: GOOD_ENTRY.born }));
+    }
+    const specification = {
+      text: "",
+      steps: [createStepSpecification()],
+      repeats: 0,
+      firstAt: 0,
+      intervalMilliseconds: 0,
+    };
+    const job = { id: "j", queue: "tugs", customer: "", specification };
+    harness.advance(() => harness.owner.submit(job, () => {}));
+    harness.advance();
+    const running = harness.starts[0]!.executor.id;
+    write(running, odd);
+    write(running, encode({}));
+    harness.advance();
+    return [name, harness.starts.map(({ task }) => task)];
+  });
+  const once = Object.keys(oddStartTimes).map((name) => [name, ["j.0.0.0"]]);
+  t.deepEqual(startsByTime, once);
+});
+
 test("whatever is written beside it, a good entry holds, and each listed one can be used", (t) => {
   const oddNumber = fc.constantFrom("1e999", "-1e999", "1e308", "-1", "0.5", "9007199254740993");
   const oddText = fc.oneof(
