Test from end to end that odd executor entries end no host

They serve a job while these are listed, add an executor that is listed after them, and serve another job after the entries are gone and a new owner has taken over.

--- a/src/platform/platform_host_test.ts
+++ b/src/platform/platform_host_test.ts
@@ -50,19 +50,21 @@
   return Number(address.split(":")[1]);
 }
 
+function createExecutor(id: string): RunExecutorStandIn {
+  return RunExecutorStandIn.create({
+    id,
+    service: "berthbook",
+    zone: "zl-a",
+    planRun: () => ({ durationMilliseconds: 40, end: RunEnd.Done }),
+  });
+}
+
 async function startFleet(hostCount: number): Promise<Fleet> {
   const store = StoreStandIn.create();
   const storeAddress = await store.listen();
   store.put("keyed.op", "config", CONFIGURATION);
   store.put("keyed.servers", "i-invalid", { service: 7, addr: "nowhere" });
-  const executors = ["i-1", "i-2"].map((id) =>
-    RunExecutorStandIn.create({
-      id,
-      service: "berthbook",
-      zone: "zl-a",
-      planRun: () => ({ durationMilliseconds: 40, end: RunEnd.Done }),
-    })
-  );
+  const executors = ["i-1", "i-2"].map(createExecutor);
   for (const executor of executors) {
     store.put("keyed.servers", executor.id, await executor.listen());
   }
@@ -157,6 +159,13 @@
   });
 }
 
+/** Waits until an event with a given value of a field has been logged. */
+async function waitForEvent(fleet: Fleet, event: string, field: string, value: unknown) {
+  await waitUntil(() =>
+    fleet.events.some((logged) => logged.event === event && logged.fields[field] === value)
+  );
+}
+
 test("any host accepts and reports a job, and each invalid request gets its specific response", async (t) => {
   const fleet = await startFleet(2);
   const id = "00000000000000a1";
@@ -236,3 +245,62 @@
     statusOfRejectedJob: refused.status,
   });
 });
+
+test("odd entries in the executor list end no host, neither while listed nor at the next take-over", async (t) => {
+  const fleet = await startFleet(2);
+  const entry = JSON.stringify({
+    ...fleet.store.getValues("keyed.servers")["i-1"] as Record<string, unknown>,
+    addr: "127.0.0.1:9",
+  });
+  const depth = 100_000;
+  const oddRecords = [
+    { key: Buffer.from("i-port"), value: entry.replace("127.0.0.1:9", "127.0.0.1:70000") },
+    { key: Buffer.from("i-octet"), value: entry.replace("127.0.0.1:9", "127.0.0.256:9") },
+    { key: Buffer.from("i-number"), value: entry.replace('"cpu":8000', '"cpu":1e999') },
+    { key: Buffer.from("i-nested"), value: '{"a":'.repeat(depth) + "0" + "}".repeat(depth) },
+    { key: Buffer.from("i-text"), value: Buffer.from([0xff, 0x00, 0xfe]) },
+    { key: Buffer.alloc(86, 0xff), value: entry },
+    { key: Buffer.alloc(255, "i"), value: entry },
+  ];
+  const putAll = (getValue: (value: string | Buffer) => string | Buffer) => {
+    for (const { key, value } of oddRecords) {
+      const content = [Buffer.from([key.length]), key, Buffer.from(getValue(value))];
+      fleet.store.putBytes("keyed.servers", Buffer.concat(content));
+    }
+    // A key that is longer than the record.
+    fleet.store.putBytes("keyed.servers", Buffer.from([200, 1]));
+  };
+  /** Lists another good executor after the odd ones, and waits until the owner knows it. */
+  const addExecutor = async (id: string) => {
+    const executor = createExecutor(id);
+    fleet.store.put("keyed.servers", id, await executor.listen());
+    fleet.executors.push(executor);
+    await waitForEvent(fleet, "executor-listed", "executor", id);
+  };
+  putAll((value) => value);
+  await addExecutor("i-3");
+  const whileListed = await call(fleet, 0, "POST", "/berths/00000000000000d1", { body: JOB });
+  await waitForState(fleet, 1, "00000000000000d1", "completed");
+  putAll(() => "");
+  await addExecutor("i-4");
+  putAll((value) => value);
+  const owner = fleet.events.find(({ event }) => event === "take-over-done")!.host;
+  // The next owner reads what this one has left in the journal.
+  void fleet.hosts[owner]!.stop();
+  await waitForEvent(fleet, "take-over-done", "epoch", 2);
+  const id = "00000000000000d2";
+  const afterTakeOver = await call(fleet, 1 - owner, "POST", `/berths/${id}`, { body: JOB });
+  await waitForState(fleet, 1 - owner, id, "completed");
+  const listed = new Set(
+    fleet.events.filter(({ event }) => event === "executor-listed")
+      .map(({ fields }) => fields["executor"]),
+  );
+  const starts = fleet.executors.flatMap((executor) => executor.starts).sort();
+  stopFleet(fleet);
+  t.snapshot({
+    whileListed: whileListed.status,
+    afterTakeOver: afterTakeOver.status,
+    listed: [...listed].sort(),
+    starts,
+  });
+});
