Size a pool by the executors that have answered, not by any entry of its service

What callers saw: with one listed entry of a service that gave a very large capacity, the service's pool was cut to its minimum of two hosts under load: the other hosts were closed to tasks, which waited beside free capacity.

Cause: the largest capacity listed for a service stands for that of each of its hosts. It was taken from every entry, also from one that no executor stands behind.

Change: only an executor that has accepted the owner's fence counts; until one has, the provider's list gives the capacity, as for a pool without executors.

--- a/src/owner/host_orders_test.ts
+++ b/src/owner/host_orders_test.ts
@@ -121,3 +121,32 @@
   for (let step = 0; step < 10; step += 1) advance();
   t.deepEqual(starts.map(({ task, executor }) => [task, executor.id]), []);
 });
+
+test("a listed executor that never answers does not decide how many hosts a pool has", (t) => {
+  const executors = Array.from({ length: 6 }, (_, number) => ({
+    ...createEntry(`i-${number}`),
+    host: `m-${number}`,
+  }));
+  const odd = createListedExecutor({
+    id: "i-odd",
+    capacity: { cpu: 1e9, memory: 1e9, accelerators: 0 },
+  });
+  const { owner, starts, advance, reportNoRuns } = createOwnerHarness({
+    configuration: CONFIGURATION,
+    executors: [...executors, odd],
+  });
+  for (const executor of executors) reportNoRuns(executor);
+  const hosts = executors.map(({ id, host }) => ({ ...createHost(id), name: host }));
+  advance(() => owner.setHosts(hosts, 50));
+  const submit = (id: string, count: number) => {
+    const steps = [createStepSpecification({ count })];
+    const specification = { ...SUBMISSION.specification, steps };
+    advance(() => owner.submit({ ...SUBMISSION, id, specification }, () => {}));
+  };
+  // 43 of 48 cores need all six hosts.
+  submit("load", 43);
+  for (let step = 0; step < 120; step += 1) advance();
+  submit("later", 5);
+  advance();
+  t.deepEqual([starts.length, new Set(starts.map(({ executor }) => executor.id)).size], [48, 6]);
+});
--- a/src/owner/pool_size_control.ts
+++ b/src/owner/pool_size_control.ts
@@ -311,7 +311,10 @@
     };
     for (const executor of state.getExecutorsOf(service)) {
       load.usedCpu += executor.getReserved().cpu;
-      load.hostCpu = Math.max(load.hostCpu, executor.entry.capacity.cpu);
+      // Until it answers, an entry may come from another program.
+      if (executor.hasAcceptedFence) {
+        load.hostCpu = Math.max(load.hostCpu, executor.entry.capacity.cpu);
+      }
       for (const { task } of executor.runs.values()) {
         const { specification } = task.step;
         raiseLongRunningMinimum(load, specification);
