Take a host list whose page token can't be sent back as unreadable, instead of ending the process

What callers saw: a page token with a lone surrogate from the provider would have ended the owner's process, and each next owner's. Found by reading and tried; no provider is known to send one.

Cause: encodeURIComponent throws on it, outside the client's `try`; the list's promise is rejected, and an unhandled rejection ends the process.

Evidence: the new test failed first with "Rejected promise returned by test ... URIError: URI malformed".

Change: the schema of the answer rejects such a token, as it does other values that can't be a token. The log line of an unreadable list names the peer too.

--- a/src/platform/provider_client.ts
+++ b/src/platform/provider_client.ts
@@ -26,7 +26,8 @@
     // The id of the executor, not of the machine.
     id: z.string().nullish(),
   })),
-  nextToken: z.union([z.string(), z.number()]).nullish(),
+  // A lone surrogate can't be encoded in the query of the next page.
+  nextToken: z.union([z.string().regex(/^\P{Surrogate}*$/u), z.number()]).nullish(),
 });
 
 const STATE_BY_NAME: Readonly<Record<string, HostState>> = {
@@ -83,7 +84,8 @@
       const parsed = hostListSchema.safeParse(parseJson(response.body));
       if (!parsed.success) {
         const reason = parsed.error.message;
-        this.#options.log("provider-answer-unreadable", { step: "list-hosts", reason });
+        const { address: peer, log } = this.#options;
+        log("provider-answer-unreadable", { step: "list-hosts", peer, reason });
         return undefined;
       }
       for (const row of parsed.data.machines) {
--- a/src/platform/provider_client_test.ts
+++ b/src/platform/provider_client_test.ts
@@ -6,6 +6,7 @@
 import { AdviserStandIn } from "./stand_in/adviser_stand_in.ts";
 import { ProviderModel } from "./stand_in/provider_model.ts";
 import { ProviderFault, ProviderStandIn } from "./stand_in/provider_stand_in.ts";
+import { sendJson, StandInServer } from "./stand_in/stand_in_server.ts";
 
 const HOSTS: Host[] = ["h-1", "h-2", "h-3"].map((name, index) => ({
   name,
@@ -68,6 +69,17 @@
   t.snapshot(results);
 });
 
+test("a page token that can't be sent back makes the list unreadable, and ends no process", async (t) => {
+  const server = StandInServer.create((_request, _body, response) =>
+    sendJson(response, 200, { machines: [], nextToken: "\ud800" })
+  );
+  const { events, log } = collectEvents();
+  const client = ProviderClient.create({ address: await server.listen(), holder: "entry-1", log });
+  t.teardown(() => (client.close(), server.close()));
+  t.is(await client.list(), undefined);
+  t.deepEqual(events, ["provider-answer-unreadable step=list-hosts"]);
+});
+
 test("gets the executors and tickets of an advice, and none from a refusal", async (t) => {
   const adviser = AdviserStandIn.create({
     mayRun: (_step, id) => id !== "i-2",
