Keep the connections of an executor that leaves the list while requests to it are in flight

What callers saw: no lost work, but a stutter. When the list lost the entry of an executor that runs tasks, because another writer had replaced it by one that can't be read or the store had dropped it, the poll in flight and any start or stop were cut off. The executor counted as lost for 0.2 s.

Cause: each update of the list closed the connections to all executors that it lacks at once, though the owner still polls those that have runs.

Evidence: the new test failed first: the poll was "unanswered" instead of "done".

Change: a link with requests in flight is kept until a later update finds it idle. An owner that ends closes all links as before.

--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -52,6 +52,8 @@
 interface ExecutorLink {
   link: HttpLink;
   timeout: AdaptiveTimeout;
+  /** The number of requests in flight. */
+  pendingRequests: number;
 }
 
 /** Sends orders to executors, over separate connections to each. */
@@ -140,15 +142,24 @@
     };
   }
 
-  /** Closes the connections to all executors except those with the given ids. */
-  closeExcept(ids: ReadonlySet<string>): void {
-    for (const [id, { link }] of this.#executorLinks) {
-      if (ids.has(id)) continue;
+  /**
+   * Closes the connections to all executors except those with the given ids and those with requests
+   * in flight: the list may lose the entry of an executor that is still running.
+   */
+  closeIdleExcept(ids: ReadonlySet<string>): void {
+    for (const [id, { link, pendingRequests }] of this.#executorLinks) {
+      if (ids.has(id) || pendingRequests > 0) continue;
       this.#executorLinks.delete(id);
       link.close();
     }
   }
 
+  /** Closes all connections; pending requests are unanswered. */
+  close(): void {
+    for (const { link } of this.#executorLinks.values()) link.close();
+    this.#executorLinks.clear();
+  }
+
   async #sendOrder(executor: ExecutorEntry, path: string, body: unknown): Promise<OrderAnswer> {
     const response = await this.#post(executor, path, body);
     if (response === undefined) return { outcome: OrderOutcome.Unanswered };
@@ -182,7 +193,9 @@
     body: unknown,
     waitMilliseconds: number,
   ): Promise<LinkResponse> {
-    const { link, timeout } = this.#getLink(executor);
+    const executorLink = this.#getLink(executor);
+    const { link, timeout } = executorLink;
+    executorLink.pendingRequests += 1;
     const sentAt = performance.now();
     try {
       const response = await link.call({
@@ -198,6 +211,8 @@
     } catch (error) {
       timeout.recordFailure();
       throw error;
+    } finally {
+      executorLink.pendingRequests -= 1;
     }
   }
 
@@ -207,7 +222,7 @@
     if (existing?.link.address === address) return existing;
     const link = HttpLink.create({ address, connections: MAXIMUM_CONNECTIONS });
     existing?.link.close();
-    const executorLink = { link, timeout: AdaptiveTimeout.create() };
+    const executorLink = { link, timeout: AdaptiveTimeout.create(), pendingRequests: 0 };
     this.#executorLinks.set(id, executorLink);
     return executorLink;
   }
--- a/src/platform/executor_client_test.ts
+++ b/src/platform/executor_client_test.ts
@@ -1,7 +1,10 @@
 import test from "ava";
 import type { EventLog } from "../events/mod.ts";
 import { createListedExecutor } from "../stand_ins/fleet_fixtures.ts";
+import { RunEnd } from "../fleet/run.ts";
+import { OrderOutcome } from "../owner/owner_ports.ts";
 import { ExecutorClient } from "./executor_client.ts";
+import { RunExecutorStandIn } from "./stand_in/run_executor_stand_in.ts";
 
 test("orders to an address to which no link can be made are unanswered, and end no process", async (t) => {
   const events: string[] = [];
@@ -24,6 +27,25 @@
       waitMilliseconds: 0,
     }),
   };
-  client.closeExcept(new Set());
+  client.close();
   t.snapshot({ answers, events });
 });
+
+test("a poll in flight is not cut off when its executor is no longer listed", async (t) => {
+  const standIn = RunExecutorStandIn.create({
+    id: "i-1",
+    service: "tugdesk",
+    zone: "zl-a",
+    planRun: () => ({ durationMilliseconds: 0, end: RunEnd.Done }),
+  });
+  const { addr } = await standIn.listen();
+  const executor = createListedExecutor({ address: String(addr) });
+  const events: string[] = [];
+  const client = ExecutorClient.create((event) => events.push(event));
+  t.teardown(() => (client.close(), standIn.close()));
+  const order = { executor, fence: 1, acknowledged: 0, deadline: 0 };
+  const poll = client.poll({ ...order, waitMilliseconds: 300 });
+  client.closeIdleExcept(new Set());
+  t.is((await poll).outcome, OrderOutcome.Done);
+  t.deepEqual(events, []);
+});
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -348,7 +348,7 @@
       (update) => {
         executorList.apply(update);
         const entries = executorList.getEntries();
-        executorClient.closeExcept(new Set(entries.map((entry) => entry.id)));
+        executorClient.closeIdleExcept(new Set(entries.map((entry) => entry.id)));
         task.post({ kind: "executors", entries });
       },
     );
@@ -376,7 +376,7 @@
     owner.task.stop();
     owner.statusJournal.stop();
     owner.topic.stop();
-    owner.executorClient.closeExcept(new Set());
+    owner.executorClient.close();
   }
 
   /** Stops the owner's decisions, waits until its journal is stored, and releases the claim. */
