Leave out an executor entry larger than 64 KiB without parsing it

What callers saw: nothing for a third of a second each time the owner read an entry of a megabyte of nested brackets, and a process that took 292 MB of memory to parse it, over twice what a node may spend on control. Where memory is limited the process ends; so does each next owner, and the entry stays listed.

Cause: an entry was parsed whatever its size. A nested value takes many times the size of its text.

Evidence: the new case of the test over odd entries, a good entry with a megabyte more, failed first: it was listed. Decoding a megabyte of nested arrays 20 times took up to 367 ms each and a peak of 292 MB for the process; the end of a process for lack of memory was not tried.

Change: the size is checked first. A usual entry has a few hundred bytes, and the largest that the other limits allow fits about three times.

--- a/src/platform/published_records.ts
+++ b/src/platform/published_records.ts
@@ -16,6 +16,8 @@
 /** The maximum request body if the configuration sets none, in bytes. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 262_144;
 
+/** The maximum size of an executor's entry, in bytes; a usual one has a few hundred. */
+const MAXIMUM_ENTRY_BYTES = 65_536;
 /** The maximum length of a name in an executor's entry, in characters. */
 const MAXIMUM_NAME_LENGTH = 200;
 /** The maximum number of labels of an executor. */
@@ -150,6 +152,7 @@
 /** Decodes an executor's entry, or gets the reason why it is invalid. Other programs write there too. */
 export function decodeExecutorEntry(id: string, value: Buffer): ExecutorEntry | string {
   if (!idSchema.safeParse(id).success) return "the id is not usable";
+  if (value.length > MAXIMUM_ENTRY_BYTES) return `larger than ${MAXIMUM_ENTRY_BYTES} bytes`;
   if (!isUtf8(value)) return "not UTF-8";
   const parsed = executorEntrySchema.safeParse(parseJson(value));
   if (!parsed.success) {
