--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -52,6 +52,8 @@
 interface ExecutorLink {
   link: HttpLink;
   timeout: AdaptiveTimeout;
+  /** The number of requests in flight. */
+  pendingRequests: number;
 }
 
 /** Sends orders to executors, over separate connections to each. */
@@ -140,15 +142,24 @@
     };
   }
 
-  /** Closes the connections to all executors except those with the given ids. */
-  closeExcept(ids: ReadonlySet<string>): void {
-    for (const [id, { link }] of this.#executorLinks) {
-      if (ids.has(id)) continue;
+  /**
+   * Closes the connections to all executors except those with the given ids and those with requests
+   * in flight: the list may lose the entry of an executor that is still running.
+   */
+  closeIdleExcept(ids: ReadonlySet<string>): void {
+    for (const [id, { link, pendingRequests }] of this.#executorLinks) {
+      if (ids.has(id) || pendingRequests > 0) continue;
       this.#executorLinks.delete(id);
       link.close();
     }
   }
 
+  /** Closes all connections; pending requests are unanswered. */
+  close(): void {
+    for (const { link } of this.#executorLinks.values()) link.close();
+    this.#executorLinks.clear();
+  }
+
   async #sendOrder(executor: ExecutorEntry, path: string, body: unknown): Promise<OrderAnswer> {
     const response = await this.#post(executor, path, body);
     if (response === undefined) return { outcome: OrderOutcome.Unanswered };
@@ -156,13 +167,35 @@
     return { outcome: decodeOutcome(response), executorTime: parsed.data?.clockMs };
   }
 
+  /** Sends a request, and gets undefined if there is no response or no link can be made. */
   async #post(
     executor: ExecutorEntry,
     path: string,
     body: unknown,
     waitMilliseconds = 0,
   ): Promise<LinkResponse | undefined> {
-    const { link, timeout } = this.#getLink(executor);
+    try {
+      return await this.#request(executor, path, body, waitMilliseconds);
+    } catch (error) {
+      this.#log("executor-silent", {
+        executor: executor.id,
+        step: path,
+        peer: executor.address,
+        reason: getErrorMessage(error),
+      });
+      return undefined;
+    }
+  }
+
+  async #request(
+    executor: ExecutorEntry,
+    path: string,
+    body: unknown,
+    waitMilliseconds: number,
+  ): Promise<LinkResponse> {
+    const executorLink = this.#getLink(executor);
+    const { link, timeout } = executorLink;
+    executorLink.pendingRequests += 1;
     try {
       const response = await link.call({
         step: path,
@@ -177,13 +210,9 @@
       return response;
     } catch (error) {
       timeout.recordFailure();
-      this.#log("executor-silent", {
-        executor: executor.id,
-        step: path,
-        peer: executor.address,
-        reason: getErrorMessage(error),
-      });
-      return undefined;
+      throw error;
+    } finally {
+      executorLink.pendingRequests -= 1;
     }
   }
 
@@ -191,9 +220,9 @@
     const { id, address } = executor;
     const existing = this.#executorLinks.get(id);
     if (existing?.link.address === address) return existing;
-    existing?.link.close();
     const link = HttpLink.create({ address, connections: MAXIMUM_CONNECTIONS });
-    const executorLink = { link, timeout: AdaptiveTimeout.create() };
+    existing?.link.close();
+    const executorLink = { link, timeout: AdaptiveTimeout.create(), pendingRequests: 0 };
     this.#executorLinks.set(id, executorLink);
     return executorLink;
   }
--- /dev/null
+++ b/src/platform/executor_client_test.ts
@@ -0,0 +1,51 @@
+import test from "ava";
+import type { EventLog } from "../events/mod.ts";
+import { createListedExecutor } from "../stand_ins/fleet_fixtures.ts";
+import { RunEnd } from "../fleet/run.ts";
+import { OrderOutcome } from "../owner/owner_ports.ts";
+import { ExecutorClient } from "./executor_client.ts";
+import { RunExecutorStandIn } from "./stand_in/run_executor_stand_in.ts";
+
+test("orders to an address to which no link can be made are unanswered, and end no process", async (t) => {
+  const events: string[] = [];
+  const log: EventLog = (event, fields) => {
+    const { step, peer, reason } = fields ?? {};
+    events.push(`${event} step=${step} peer=${peer} reason=${reason}`);
+  };
+  const client = ExecutorClient.create(log);
+  const executor = createListedExecutor({ address: "127.0.0.1:70000" });
+  const run = { executor, task: "j.0.0.0", run: 1, fence: 1 };
+  const answers = {
+    start: await client.start({ ...run, text: "", deadline: 0, checkpoint: "" }),
+    stop: await client.stop(run),
+    pace: await client.pace({ ...run, percent: 50 }),
+    poll: await client.poll({
+      executor,
+      fence: 1,
+      acknowledged: 0,
+      deadline: 0,
+      waitMilliseconds: 0,
+    }),
+  };
+  client.close();
+  t.snapshot({ answers, events });
+});
+
+test("a poll in flight is not cut off when its executor is no longer listed", async (t) => {
+  const standIn = RunExecutorStandIn.create({
+    id: "i-1",
+    service: "tugdesk",
+    zone: "zl-a",
+    planRun: () => ({ durationMilliseconds: 0, end: RunEnd.Done }),
+  });
+  const { addr } = await standIn.listen();
+  const executor = createListedExecutor({ address: String(addr) });
+  const events: string[] = [];
+  const client = ExecutorClient.create((event) => events.push(event));
+  t.teardown(() => (client.close(), standIn.close()));
+  const order = { executor, fence: 1, acknowledged: 0, deadline: 0 };
+  const poll = client.poll({ ...order, waitMilliseconds: 300 });
+  client.closeIdleExcept(new Set());
+  t.is((await poll).outcome, OrderOutcome.Done);
+  t.deepEqual(events, []);
+});
