Read what arrived before an exchange times out after a pause

What callers would see: a host that gets little processor time starts a large transfer anew, or repeats an order, although the answer has arrived. Cause: after a pause of the process the timer of the time limit runs before the sockets are read, so bytes that arrived during the pause did not count. Evidence: traced from a test that failed once beside a load average of 20, "a transfer in progress survives another request's timeout" (it failed again on that code beside the same load); the new test, which keeps the process busy for 400 ms in the middle of a transfer, failed with "unanswered". Change: when the time is over the sockets are read once before the exchange counts as timed out.

--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -55,6 +55,7 @@
   readonly #deadline: TransferDeadline;
   readonly #chunks: Buffer[] = [];
   #timer: NodeJS.Timeout | undefined;
+  #immediate: NodeJS.Immediate | undefined;
   #status = 0;
   #latencyMilliseconds = 0;
   #controller: Dispatcher.DispatchController | undefined;
@@ -85,6 +86,7 @@
   /** Stops checking the time limit. */
   close(): void {
     clearTimeout(this.#timer);
+    clearImmediate(this.#immediate);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -118,8 +120,15 @@
 
   #checkDeadline(): void {
     const remaining = this.#deadline.getTime() - performance.now();
-    if (remaining <= 0) return this.#timeOut();
-    this.#timer = setTimeout(() => this.#checkDeadline(), Math.ceil(remaining));
+    if (remaining > 0) {
+      this.#timer = setTimeout(() => this.#checkDeadline(), Math.ceil(remaining));
+    } else {
+      // If this process did not run for a while, what arrived meanwhile is read first.
+      this.#immediate = setImmediate(() => {
+        if (this.#deadline.getTime() <= performance.now()) this.#timeOut();
+        else this.#checkDeadline();
+      });
+    }
   }
 
   /** Rejects the response, and aborts the request if it has been sent. */
--- a/src/platform/keyed_topic_task_test.ts
+++ b/src/platform/keyed_topic_task_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import type { EventLog } from "../events/mod.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
@@ -18,6 +19,9 @@
 /** The size of a transfer that outlasts any timeout: it takes 5 s on a slow link. */
 const LONG_TRANSFER_BYTES = 1_000_000;
 
+/** How long the process does not run, in milliseconds: longer than a usual response may take. */
+const PAUSE_MILLISECONDS = 400;
+
 interface FollowOptions {
   store: StoreStandIn;
   log?: EventLog;
@@ -125,3 +129,15 @@
   const read = await reading;
   t.snapshot({ lost: lost.outcome, read: read.outcome });
 });
+
+test("a transfer in progress survives a pause of this process", async (t) => {
+  const store = StoreStandIn.create({ bytesPerMillisecond: SLOW_LINK_BYTES_PER_MILLISECOND });
+  const client = StoreClient.create(await store.listen(), noLog);
+  t.teardown(() => (client.close(), store.close()));
+  store.put("keyed.op", "config", LARGE_RECORD_TEXT);
+  const reading = client.read({ topic: "keyed.op", part: 0, from: 0, waitMilliseconds: 0 });
+  await delay(PAUSE_MILLISECONDS / 2);
+  const resumeAt = performance.now() + PAUSE_MILLISECONDS;
+  while (performance.now() < resumeAt);
+  t.is((await reading).outcome, "done");
+});
