Let a stand-in report that it listens only once the platform lists it

What was seen: when it happens, entry-1 refuses every request with 503 no-host until the test gives up after 30 s. That decision (DispatchPool.findInfeasibleReason) falls only if the fleet holds no schedulable executor of the service; ages and standing have no part in it. The refusal is right: no executor was enrolled. The log of the first failure isn't kept, so its list was not seen.

Cause: the stand-ins of executors and workers logged 'listening' before they registered in the platform's list. The rig of the tests waits for that line, then reads the list once and enrols what it holds. An executor whose registration came later was never enrolled.

Fix: the line follows the registration, so a reader of the line finds the host in the list.

--- a/src/commands/stand_in_commands.ts
+++ b/src/commands/stand_in_commands.ts
@@ -92,12 +92,12 @@
     const log = createProcessLog({ process: name });
     const executor = ExecutorStandIn.create({ name, address, serviceMilliseconds: 0 });
     const boundAddress = await executor.listen();
-    log("listening", { address: boundAddress });
     const listed = createListedExecutor({ name, pool, zone, address: boundAddress });
     await request(`http://${platformAddress}/hosts`, {
       method: "POST",
       body: JSON.stringify(listed),
     }).then((response) => response.body.dump());
+    log("listening", { address: boundAddress });
     await waitForStopSignal();
     executor.close();
     return ExitCode.Done;
--- a/src/commands/worker_stand_in_command.ts
+++ b/src/commands/worker_stand_in_command.ts
@@ -28,12 +28,12 @@
     const log = createProcessLog({ process: name });
     const worker = WorkerStandIn.create({ name, address });
     const boundAddress = await worker.listen();
-    log("listening", { address: boundAddress });
     const listed = createListedWorker(name, pool, zone, boundAddress);
     await request(`http://${platformAddress}/hosts`, {
       method: "POST",
       body: JSON.stringify(listed),
     }).then((response) => response.body.dump());
+    log("listening", { address: boundAddress });
     await waitForStopSignal();
     worker.close();
     return ExitCode.Done;
