Stop the rig of the tests when it enrols fewer executors than it started

The rig ignored the outcomes of its enrolments. With the stand-ins that listened before they were listed, it ran with one or two of three executors in most starts, and outage_test and processes_test passed so; with none, outage_test failed 30 s later at its callers with 'not-run no host'.

Now a start that doesn't enrol every executor fails with 'enrolled 2 of 3 executors' and ends its processes.

--- a/src/tests/rig.ts
+++ b/src/tests/rig.ts
@@ -6,7 +6,7 @@
 import type { LogRecord } from "../records/record.ts";
 import type { ListedHost } from "../records/platform_messages.ts";
 import type { ExecutorRun } from "../stand_ins/executor_stand_in.ts";
-import { getFirstOutcome, type VerdictOutcome } from "../records/verdict.ts";
+import { getFirstOutcome, VerdictOutcome } from "../records/verdict.ts";
 import { formatPresentedKey, hashSecret } from "../teams/key_secret.ts";
 import { Daemon, toFlags } from "./daemon.ts";
 import { Forwarder } from "./forwarder.ts";
@@ -65,7 +65,12 @@
     await Promise.all(indexes.map((index) => rig.#startExecutor(index)));
     sortByName(rig.entries);
     sortByName(rig.executors);
-    await rig.#enrolExecutors();
+    try {
+      await rig.#enrolExecutors();
+    } catch (error) {
+      await rig.stop();
+      throw error;
+    }
     return rig;
   }
 
@@ -207,7 +212,13 @@
 
   async #enrolExecutors(): Promise<void> {
     const listed = await this.getClient("entry-1").getView("/listed-hosts") as ListedHost[];
-    for (const { state: _state, ...host } of listed) await this.publish("host-enrolled", host);
+    const outcomes: (VerdictOutcome | undefined)[] = [];
+    for (const { state: _state, ...host } of listed) {
+      outcomes.push(await this.publish("host-enrolled", host));
+    }
+    const enrolled = outcomes.filter((outcome) => outcome === VerdictOutcome.Accepted).length;
+    if (enrolled === this.executors.size) return;
+    throw new Error(`enrolled ${enrolled} of ${this.executors.size} executors`);
   }
 
   #getZone(index: number): string {
