Keep a timeout for each topic of the store

Cause: the adaptive timeout of reads was shared by all topics. Each timeout of keyed.op lengthens the next one up to fourfold, but the answers to reads of keyed.claims, three a second, set it back to 200 ms. So the limit of the configuration's reads never rose, and the hosts with a slow link never got what some of them would have got in a longer read. Change: a timeout for each operation and partition.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -91,7 +91,7 @@
 /** Reads and appends records over HTTP. */
 export class StoreClient {
   readonly #link: HttpLink;
-  /** The timeouts by operation. */
+  /** The timeouts by operation and partition: quick answers of one say nothing of another. */
   readonly #timeouts = new Map<string, AdaptiveTimeout>();
 
   readonly #log: EventLog;
@@ -124,7 +124,7 @@
       query.set("epoch", String(options.producer.epoch));
       query.set("seq", String(options.producer.sequence));
     }
-    const response = await this.#request("append", {
+    const response = await this.#request("append", options, {
       method: "POST",
       path: `/-/log-append?${query}`,
       headers: { "content-type": "application/octet-stream" },
@@ -152,7 +152,7 @@
 
   async #read(options: ReadOptions): Promise<ReadResult> {
     const { topic, part, from, waitMilliseconds } = options;
-    const response = await this.#request("read", {
+    const response = await this.#request("read", options, {
       method: "GET",
       path: `/-/log-read?topic=${topic}&part=${part}&from=${from}&waitMs=${waitMilliseconds}`,
       waitMilliseconds,
@@ -199,7 +199,7 @@
     const maximumAttempts = after === undefined ? 1 : MAXIMUM_PAGE_ATTEMPTS;
     for (let attempt = 1;; attempt += 1) {
       try {
-        const response = await this.#request(step, request);
+        const response = await this.#request(step, options, request);
         if (response.status !== 200) return { outcome: "refused", status: response.status };
         return this.#parse(step, newestSchema, response);
       } catch (error) {
@@ -218,10 +218,12 @@
   /** Sends a request, and records its latency. */
   async #request(
     step: string,
+    { topic, part }: Partition,
     request: Omit<LinkRequest, "step" | "silenceMilliseconds">,
   ): Promise<LinkResponse> {
-    const timeout = this.#timeouts.get(step) ?? AdaptiveTimeout.create();
-    this.#timeouts.set(step, timeout);
+    const key = `${step} ${topic}/${part}`;
+    const timeout = this.#timeouts.get(key) ?? AdaptiveTimeout.create();
+    this.#timeouts.set(key, timeout);
     const silenceMilliseconds = timeout.getMilliseconds();
     try {
       const response = await this.#link.call({ step, ...request, silenceMilliseconds });
