--- a/src/platform/keyed_topic_task.ts
+++ b/src/platform/keyed_topic_task.ts
@@ -7,9 +7,6 @@
 /** The delay before a failed read is retried, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 100;
 
-/** How many records may remain after a read that the store has cut short, without a snapshot. */
-const MAXIMUM_REMAINING_RECORDS = 1;
-
 /** The result of one successful read of a keyed topic. */
 export interface KeyedTopicUpdate {
   /** The changed values, in order; an empty value deletes the key. */
@@ -142,9 +139,7 @@
     const nextOffset = from + read.records.length;
     const remaining = read.end - nextOffset;
     // Only the newest value of each key counts: a snapshot leaves out the superseded ones.
-    const needsSnapshot = remaining > MAXIMUM_REMAINING_RECORDS ||
-      (remaining > 0 && read.records.length === 0);
-    this.#nextOffset = needsSnapshot ? undefined : nextOffset;
+    this.#nextOffset = remaining > 0 ? undefined : nextOffset;
     return {
       update: {
         changes,
--- a/src/platform/keyed_topic_task_test.ts
+++ b/src/platform/keyed_topic_task_test.ts
@@ -16,6 +16,8 @@
 const FAST_LINK_BYTES_PER_MILLISECOND = 5_000;
 /** A record that takes 1.2 s on a slow link: the response to a fast read times out after 200 ms. */
 const LARGE_RECORD_TEXT = "x".repeat(240_000);
+/** A record of which a response of the store holds one, and a part of the next. */
+const HALF_RESPONSE_TEXT = "x".repeat(600_000);
 /** The size of a transfer that outlasts any timeout: it takes 5 s on a slow link. */
 const LONG_TRANSFER_BYTES = 1_000_000;
 
@@ -95,6 +97,26 @@
   t.snapshot({ isReceived, updates });
 });
 
+test("a host that stays one large value behind becomes current", async (t) => {
+  const store = StoreStandIn.create();
+  let version = 1;
+  const put = () => store.put("keyed.op", "config", version++ + HALF_RESPONSE_TEXT);
+  put();
+  let updates = 0;
+  const isReceived = await followTopic({
+    store,
+    isFinished: ({ asOf }) => {
+      updates += 1;
+      if (updates > 1 && asOf > -Infinity) return true;
+      // One value more is written than a response holds, and another during each transfer.
+      if (updates === 1) put();
+      put();
+      return false;
+    },
+  });
+  t.true(isReceived, `not current after ${updates} updates`);
+});
+
 test("a response that falls silent midway is read again", async (t) => {
   const store = StoreStandIn.create();
   store.put("keyed.op", "config", "small");
