--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -1,5 +1,6 @@
 /** HTTP client of the platform's store, an append-only log of plain and keyed topics. */
 
+import { setTimeout as delay } from "node:timers/promises";
 import { z } from "zod";
 import { getErrorMessage, StepError } from "../errors/mod.ts";
 import type { EventLog } from "../events/mod.ts";
@@ -9,7 +10,9 @@
 /** The maximum number of connections to the store. */
 const MAXIMUM_CONNECTIONS = 12;
 /** How often a page after the first is requested before the read of all pages fails. */
-const MAXIMUM_PAGE_ATTEMPTS = 4;
+const MAXIMUM_PAGE_ATTEMPTS = 6;
+/** The delay before a page is requested again, in milliseconds. */
+const PAGE_RETRY_DELAY_MILLISECONDS = 100;
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 
@@ -187,7 +190,7 @@
     }
   }
 
-  /** Reads a page; a page after others is read again if its response is lost, to keep the others. */
+  /** Reads a page; a page after others is read again if the store does not serve it. */
   async #readNewestPage(
     options: Partition,
     after: string | undefined,
@@ -198,15 +201,18 @@
     const request = { method: "GET", path: `/-/log-newest?${query}` } as const;
     const maximumAttempts = after === undefined ? 1 : MAXIMUM_PAGE_ATTEMPTS;
     for (let attempt = 1;; attempt += 1) {
+      let reason: string;
       try {
         const response = await this.#request(step, options, request);
-        if (response.status !== 200) return { outcome: "refused", status: response.status };
-        return this.#parse(step, newestSchema, response);
+        if (response.status === 200) return this.#parse(step, newestSchema, response);
+        if (attempt === maximumAttempts) return { outcome: "refused", status: response.status };
+        reason = `status ${response.status}`;
       } catch (error) {
         if (attempt === maximumAttempts || !(error instanceof NoResponseError)) throw error;
-        const reason = getErrorMessage(error);
-        this.#log("store-page-lost", { step, peer: this.#link.address, after, attempt, reason });
+        reason = getErrorMessage(error);
       }
+      this.#log("store-page-lost", { step, peer: this.#link.address, after, attempt, reason });
+      await delay(PAGE_RETRY_DELAY_MILLISECONDS);
     }
   }
 
--- a/src/platform/store_ports_test.ts
+++ b/src/platform/store_ports_test.ts
@@ -86,35 +86,44 @@
   t.snapshot({ outcome: await Promise.race([stored, timeout]), appends });
 });
 
-test("a lost page does not make a take-over read the journal from its start", async (t) => {
-  const storeStandIn = StoreStandIn.create();
-  const events: string[] = [];
-  const store = StoreClient.create(
-    await storeStandIn.listen(),
-    (event, fields) => events.push(`${event} after ${String(fields?.["after"])}`),
-  );
-  t.teardown(() => (store.close(), storeStandIn.close()));
-  // The store returns 500 entries a page.
-  for (let number = 0; number < 1_200; number += 1) {
-    storeStandIn.put("keyed.journal", `job/${String(number).padStart(4, "0")}`, number);
-  }
-  const pages: string[] = [];
-  storeStandIn.chooseFault = (path) => {
-    const after = new URL(path, "http://store").searchParams.get("after") ?? "start";
-    pages.push(after);
-    const isFirstRequest = pages.filter((page) => page === after).length === 1;
-    return after !== "start" && isFirstRequest ? StoreFault.AnswerLost : StoreFault.None;
-  };
-  const journalStore = createJournalStore(store);
-  let entries: unknown[] | undefined;
-  for (let attempt = 1; entries === undefined && attempt <= 5; attempt += 1) {
-    pages.length = 0;
-    events.length = 0;
-    entries = await journalStore.readAll();
-  }
-  t.snapshot({
-    entries: entries?.length,
-    pages: [...new Set(pages)],
-    events: [...new Set(events)],
+/** The ways in which the store does not serve a page. */
+const PAGE_FAULTS: Record<string, StoreFault> = {
+  "lost": StoreFault.AnswerLost,
+  "refused": StoreFault.Busy,
+  "reset": StoreFault.Reset,
+};
+
+for (const [name, fault] of Object.entries(PAGE_FAULTS)) {
+  test(`a page that is ${name} twice does not make a take-over read the journal from its start`, async (t) => {
+    const storeStandIn = StoreStandIn.create();
+    const events: string[] = [];
+    const store = StoreClient.create(
+      await storeStandIn.listen(),
+      (event, fields) => events.push(`${event} after ${String(fields?.["after"])}`),
+    );
+    t.teardown(() => (store.close(), storeStandIn.close()));
+    // The store returns 500 entries a page.
+    for (let number = 0; number < 1_200; number += 1) {
+      storeStandIn.put("keyed.journal", `job/${String(number).padStart(4, "0")}`, number);
+    }
+    const pages: string[] = [];
+    storeStandIn.chooseFault = (path) => {
+      const after = new URL(path, "http://store").searchParams.get("after") ?? "start";
+      pages.push(after);
+      const requestCount = pages.filter((page) => page === after).length;
+      return after !== "start" && requestCount <= 2 ? fault : StoreFault.None;
+    };
+    const journalStore = createJournalStore(store);
+    let entries: unknown[] | undefined;
+    for (let attempt = 1; entries === undefined && attempt <= 5; attempt += 1) {
+      pages.length = 0;
+      events.length = 0;
+      entries = await journalStore.readAll();
+    }
+    t.snapshot({
+      entries: entries?.length,
+      pages: [...new Set(pages)],
+      events: [...new Set(events)],
+    });
   });
-});
+}
