End the requests of replaced pools when a link is closed

What users would see: a process that stops late, as a transfer of a link that was closed goes on. Cause: since a replaced pool completes its requests, closing the link ended only those of the present pool. Evidence: the new test failed: the endless request was still open after 8 s. Change: the link keeps its replaced pools until they are done, and destroys them when it is closed. Result: the test passes.

--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -149,6 +149,8 @@
   readonly address: string;
   readonly #maximumConnections: number;
   #pool: Pool;
+  /** The pools that were replaced and still complete their requests. */
+  readonly #replacedPools = new Set<Pool>();
   #isClosed = false;
 
   private constructor(options: HttpLinkOptions) {
@@ -190,7 +192,7 @@
   /** Closes all connections; pending requests fail. */
   close(): void {
     this.#isClosed = true;
-    void this.#pool.destroy();
+    for (const pool of [this.#pool, ...this.#replacedPools]) void pool.destroy();
   }
 
   #createPool(): Pool {
@@ -209,6 +211,8 @@
     if (this.#isClosed || pool !== this.#pool) return;
     this.#pool = this.#createPool();
     // Requests that still make progress are completed.
-    void pool.close();
+    this.#replacedPools.add(pool);
+    const forget = () => this.#replacedPools.delete(pool);
+    void pool.close().then(forget, forget);
   }
 }
--- /dev/null
+++ b/src/platform/http_link_test.ts
@@ -0,0 +1,39 @@
+import { setTimeout as delay } from "node:timers/promises";
+import test from "ava";
+import { HttpLink } from "./http_link.ts";
+import { StandInServer } from "./stand_in/stand_in_server.ts";
+
+const SILENCE_MILLISECONDS = 200;
+/** How long a test waits for a request that should fail, in milliseconds. */
+const PATIENCE_MILLISECONDS = 8_000;
+/** The size of the pieces in which an endless response is sent. */
+const PIECE_BYTES = 100_000;
+
+/** Starts a server that never ends its responses, or never answers `/silent`. */
+async function startEndlessServer() {
+  const server = StandInServer.create(async (request, _body, response) => {
+    while (request.url !== "/silent" && !response.destroyed) {
+      response.write(Buffer.alloc(PIECE_BYTES));
+      await delay(1);
+    }
+  });
+  return { server, address: await server.listen() };
+}
+
+/** Calls a path, and gets how the exchange ended. */
+async function getOutcome(link: HttpLink, path: string): Promise<string> {
+  const request = { step: "read", method: "GET", path } as const;
+  const outcome = link.call({ ...request, silenceMilliseconds: SILENCE_MILLISECONDS })
+    .then(() => "complete", () => "failed");
+  return await Promise.race([outcome, delay(PATIENCE_MILLISECONDS).then(() => "still open")]);
+}
+
+test("closing a link fails the requests of a replaced pool too", async (t) => {
+  const { server, address } = await startEndlessServer();
+  const link = HttpLink.create({ address, connections: 2 });
+  t.teardown(() => (link.close(), server.close()));
+  const endless = getOutcome(link, "/endless");
+  const silent = await getOutcome(link, "/silent");
+  link.close();
+  t.deepEqual([silent, await endless], ["failed", "failed"]);
+});
