Give up a response that is larger than any answer can be

What callers would see: an executor whose answer never ends keeps its poll open, so that its lost runs are never started elsewhere; memory grows. Cause: since the time limit is one of silence and of a minimum rate, a response that goes on without an end was never given up. Found by the reviewer.

--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -6,6 +6,8 @@
 import { getErrorMessage, StepError } from "../errors/mod.ts";
 import { TransferDeadline } from "./transfer_deadline.ts";
 
+/** The default size at which a response is given up, in bytes: a multiple of a snapshot's page. */
+const DEFAULT_MAXIMUM_RESPONSE_BYTES = 16_000_000;
 /** How long an idle connection is kept open, in milliseconds. */
 const KEEP_ALIVE_MILLISECONDS = 60_000;
 
@@ -42,6 +44,8 @@
   address: string;
   /** The maximum number of connections. */
   connections: number;
+  /** The size at which a response is given up, in bytes; a default if unset. */
+  maximumResponseBytes?: number;
 }
 
 /** Collects the chunks of one response, without the overhead of a stream. */
@@ -51,6 +55,7 @@
   /** Whether the request has timed out. */
   isTimedOut = false;
   readonly #request: LinkRequest;
+  readonly #maximumResponseBytes: number;
   readonly #sentAt = performance.now();
   readonly #deadline: TransferDeadline;
   readonly #chunks: Buffer[] = [];
@@ -62,8 +67,9 @@
   #resolve!: (response: LinkResponse) => void;
   #reject!: (error: unknown) => void;
 
-  private constructor(request: LinkRequest) {
+  private constructor(request: LinkRequest, maximumResponseBytes: number) {
     this.#request = request;
+    this.#maximumResponseBytes = maximumResponseBytes;
     this.#deadline = TransferDeadline.create({
       sentAt: this.#sentAt,
       sentBytes: Buffer.byteLength(request.body ?? ""),
@@ -77,8 +83,8 @@
   }
 
   /** Creates a collector, whose time limit starts to run. */
-  static create(request: LinkRequest): ResponseCollector {
-    const collector = new ResponseCollector(request);
+  static create(request: LinkRequest, maximumResponseBytes: number): ResponseCollector {
+    const collector = new ResponseCollector(request, maximumResponseBytes);
     collector.#checkDeadline();
     return collector;
   }
@@ -106,6 +112,8 @@
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#chunks.push(chunk);
     this.#deadline.recordReceived(chunk.length, performance.now());
+    if (this.#deadline.getReceivedBytes() <= this.#maximumResponseBytes) return;
+    this.#abort(`the response is larger than ${this.#maximumResponseBytes} bytes`);
   }
 
   onResponseEnd(): void {
@@ -131,13 +139,17 @@
     }
   }
 
-  /** Rejects the response, and aborts the request if it has been sent. */
   #timeOut(): void {
     const milliseconds = Math.round(performance.now() - this.#sentAt);
-    const error = new Error(
+    this.isTimedOut = true;
+    this.#abort(
       `timed out after ${milliseconds} ms, ${this.#deadline.getReceivedBytes()} bytes received`,
     );
-    this.isTimedOut = true;
+  }
+
+  /** Rejects the response, and aborts the request if it has been sent. */
+  #abort(reason: string): void {
+    const error = new Error(reason);
     this.#reject(error);
     this.#controller?.abort(error);
   }
@@ -148,6 +160,7 @@
   /** The address of the server, as IP and port. */
   readonly address: string;
   readonly #maximumConnections: number;
+  readonly #maximumResponseBytes: number;
   #pool: Pool;
   /** The pools that were replaced and still complete their requests. */
   readonly #replacedPools = new Set<Pool>();
@@ -156,6 +169,7 @@
   private constructor(options: HttpLinkOptions) {
     this.address = options.address;
     this.#maximumConnections = options.connections;
+    this.#maximumResponseBytes = options.maximumResponseBytes ?? DEFAULT_MAXIMUM_RESPONSE_BYTES;
     this.#pool = this.#createPool();
   }
 
@@ -167,7 +181,7 @@
   /** Sends a request and gets the complete response, or throws a `NoResponseError`. */
   async call(request: LinkRequest): Promise<LinkResponse> {
     const pool = this.#pool;
-    const collector = ResponseCollector.create(request);
+    const collector = ResponseCollector.create(request, this.#maximumResponseBytes);
     try {
       pool.dispatch({
         method: request.method,
--- a/src/platform/http_link_test.ts
+++ b/src/platform/http_link_test.ts
@@ -30,10 +30,17 @@
 
 test("closing a link fails the requests of a replaced pool too", async (t) => {
   const { server, address } = await startEndlessServer();
-  const link = HttpLink.create({ address, connections: 2 });
+  const link = HttpLink.create({ address, connections: 2, maximumResponseBytes: Infinity });
   t.teardown(() => (link.close(), server.close()));
   const endless = getOutcome(link, "/endless");
   const silent = await getOutcome(link, "/silent");
   link.close();
   t.deepEqual([silent, await endless], ["failed", "failed"]);
 });
+
+test("a response without an end is given up", async (t) => {
+  const { server, address } = await startEndlessServer();
+  const link = HttpLink.create({ address, connections: 1, maximumResponseBytes: 4_000_000 });
+  t.teardown(() => (link.close(), server.close()));
+  t.is(await getOutcome(link, "/endless"), "failed");
+});
