--- a/src/fleet/configuration_test.ts
+++ b/src/fleet/configuration_test.ts
@@ -1,18 +1,12 @@
 import test from "ava";
+import { createQueue } from "../stand_ins/fleet_fixtures.ts";
 import { Configuration, type Queue } from "./configuration.ts";
 
 /** Creates queues on one host that count how often their path prefixes are read. */
 function createCountingQueues(count: number) {
   let reads = 0;
   const queues = Array.from({ length: count }, (_, index): Queue => ({
-    name: `q-${index}`,
-    host: "berths.example",
-    service: "berthbook",
-    priority: 0,
-    attemptLimit: 1,
-    stretch: 1,
-    objectiveMilliseconds: 0,
-    isPublic: false,
+    ...createQueue({ name: `q-${index}` }),
     get pathPrefix() {
       reads += 1;
       return `/${"p".repeat(index % 7)}${index}/`;
@@ -33,17 +27,8 @@
 });
 
 test("a path is matched with the longest prefix on its host", (t) => {
-  const create = (name: string, host: string, pathPrefix: string): Queue => ({
-    name,
-    host,
-    pathPrefix,
-    service: "berthbook",
-    priority: 0,
-    attemptLimit: 1,
-    stretch: 1,
-    objectiveMilliseconds: 0,
-    isPublic: false,
-  });
+  const create = (name: string, host: string, pathPrefix: string): Queue =>
+    createQueue({ name, host, pathPrefix });
   const configuration = Configuration.create({
     version: 1,
     queues: [
