--- a/src/fleet/configuration_test.ts
+++ b/src/fleet/configuration_test.ts
@@ -21,7 +21,7 @@
     Configuration.create({ version: 1, queues, services: [], customers: [], largestBodyBytes: 0 });
     return getReads() / count;
   });
-  // Sorting reads both prefixes of each comparison, of which there are less than n log2(n).
+  // Sorting reads both prefixes of each comparison, of which there are fewer than n log2(n).
   t.true(readsPerQueue[0]! <= 2 * Math.log2(1_000), `${readsPerQueue[0]} reads for each queue`);
   t.true(readsPerQueue[1]! <= 2 * Math.log2(10_000), `${readsPerQueue[1]} reads for each queue`);
 });
--- a/src/front/call.ts
+++ b/src/front/call.ts
@@ -60,8 +60,8 @@
 } as const;
 export type AnswerOutcome = typeof AnswerOutcome[keyof typeof AnswerOutcome];
 
-/** The outcomes that state that a call was not carried out and never will be. */
-const REFUSED_OUTCOMES: ReadonlySet<AnswerOutcome> = new Set([
+/** The outcomes that tell a caller that its call was not carried out and never will be. */
+const NOT_CARRIED_OUT_OUTCOMES: ReadonlySet<AnswerOutcome> = new Set([
   AnswerOutcome.UnknownQueue,
   AnswerOutcome.InvalidKey,
   AnswerOutcome.Malformed,
@@ -129,9 +129,9 @@
   return "outcome" in result;
 }
 
-/** Gets whether an answer states that its call was not carried out and never will be. */
-export function isRefused(answer: Answer): boolean {
-  return REFUSED_OUTCOMES.has(answer.outcome);
+/** Gets whether an answer tells a caller that its call was not carried out and never will be. */
+export function isNotCarriedOut(answer: Answer): boolean {
+  return NOT_CARRIED_OUT_OUTCOMES.has(answer.outcome);
 }
 
 /** Creates the answer to a call that was not carried out and should be retried. */
--- a/src/front/pending_call.ts
+++ b/src/front/pending_call.ts
@@ -1,7 +1,13 @@
 /** A caller's call that its front delivers to the owner, and again until an owner answers. */
 
 import type { Reply } from "../tasks/mod.ts";
-import { type Answer, AnswerOutcome, CallKind, createUnavailable, isRefused } from "./call.ts";
+import {
+  type Answer,
+  AnswerOutcome,
+  CallKind,
+  createUnavailable,
+  isNotCarriedOut,
+} from "./call.ts";
 import type { ForwardedCall } from "./call_frame.ts";
 
 /** Options of a `PendingCall`. */
@@ -62,7 +68,7 @@
   decideAnswer(answer: Answer): Answer | undefined {
     this.#unansweredCount -= 1;
     if (answer.outcome === AnswerOutcome.NotOwner) return undefined;
-    if (!isRefused(answer) || !this.#mayHaveEffect()) return answer;
+    if (!isNotCarriedOut(answer) || !this.#mayHaveEffect()) return answer;
     const reason = `refused (${answer.outcome}), but an earlier delivery may have been carried out`;
     return { outcome: AnswerOutcome.InDoubt, reason };
   }
--- a/src/ownership/journal_task.ts
+++ b/src/ownership/journal_task.ts
@@ -11,8 +11,8 @@
 /** The maximum number of entries in one append. */
 const MAXIMUM_APPEND_ENTRIES = 500;
 /**
- * The maximum size of an append of several writes, in bytes: a lost append is noticed later the
- * larger it is.
+ * The maximum size of an append that combines several writes, in bytes: the larger an append, the
+ * later its loss is detected.
  */
 const MAXIMUM_APPEND_BYTES = 100_000;
 /** The delay before a failed append is retried, in milliseconds. */
--- a/src/platform/adviser_client.ts
+++ b/src/platform/adviser_client.ts
@@ -9,7 +9,7 @@
 
 /** The maximum number of connections; few, as the adviser serves a host's requests sequentially. */
 const MAXIMUM_CONNECTIONS = 2;
-/** How long a request may make no progress, in milliseconds. */
+/** The idle timeout of a request, in milliseconds. */
 const REQUEST_TIMEOUT_MILLISECONDS = 4_000;
 
 const responseSchema = z.object({
@@ -41,7 +41,7 @@
         path: "/-/advise",
         headers: { "content-type": "application/json" },
         body: JSON.stringify({ step, workers: executors }),
-        silenceMilliseconds: REQUEST_TIMEOUT_MILLISECONDS,
+        idleTimeoutMilliseconds: REQUEST_TIMEOUT_MILLISECONDS,
       });
       const parsed = responseSchema.safeParse(parseJson(response.body));
       if (response.status === 200 && parsed.success) {
--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -204,7 +204,7 @@
         headers: { ...JSON_HEADERS, "expect-instance": executor.id },
         body: JSON.stringify(body),
         waitMilliseconds,
-        silenceMilliseconds: timeout.getMilliseconds(),
+        idleTimeoutMilliseconds: timeout.getMilliseconds(),
       });
       timeout.recordResponse(response.latencyMilliseconds);
       return response;
--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -6,7 +6,7 @@
 import { getErrorMessage, StepError } from "../errors/mod.ts";
 import { TransferDeadline } from "./transfer_deadline.ts";
 
-/** The default size at which a response is given up, in bytes: a multiple of a snapshot's page. */
+/** The default maximum size of a response, in bytes: many times that of a snapshot's page. */
 const DEFAULT_MAXIMUM_RESPONSE_BYTES = 16_000_000;
 /** How long an idle connection is kept open, in milliseconds. */
 const KEEP_ALIVE_MILLISECONDS = 60_000;
@@ -25,8 +25,8 @@
   body?: Uint8Array | string | undefined;
   /** How long the server may hold the request before it responds, in milliseconds; 0 if unset. */
   waitMilliseconds?: number;
-  /** How long the exchange may make no progress, in milliseconds (see `TransferDeadline`). */
-  silenceMilliseconds: number;
+  /** How long nothing may arrive before the exchange times out, in milliseconds. */
+  idleTimeoutMilliseconds: number;
 }
 
 /** An HTTP response. */
@@ -44,7 +44,7 @@
   address: string;
   /** The maximum number of connections. */
   connections: number;
-  /** The size at which a response is given up, in bytes; a default if unset. */
+  /** The maximum size of a response, in bytes; a default if unset. */
   maximumResponseBytes?: number;
 }
 
@@ -74,7 +74,7 @@
       sentAt: this.#sentAt,
       sentBytes: Buffer.byteLength(request.body ?? ""),
       waitMilliseconds: request.waitMilliseconds ?? 0,
-      silenceMilliseconds: request.silenceMilliseconds,
+      idleTimeoutMilliseconds: request.idleTimeoutMilliseconds,
     });
     this.answer = new Promise((resolve, reject) => {
       this.#resolve = resolve;
@@ -131,7 +131,7 @@
     if (remaining > 0) {
       this.#timer = setTimeout(() => this.#checkDeadline(), Math.ceil(remaining));
     } else {
-      // If this process did not run for a while, what arrived meanwhile is read first.
+      // After a pause of the process, timers run before the sockets are read.
       this.#immediate = setImmediate(() => {
         if (this.#deadline.getTime() <= performance.now()) this.#timeOut();
         else this.#checkDeadline();
@@ -224,7 +224,7 @@
   #replacePool(pool: Pool): void {
     if (this.#isClosed || pool !== this.#pool) return;
     this.#pool = this.#createPool();
-    // Requests that still make progress are completed.
+    // Pending requests are completed unless they time out themselves.
     this.#replacedPools.add(pool);
     const forget = () => this.#replacedPools.delete(pool);
     void pool.close().then(forget, forget);
--- a/src/platform/http_link_test.ts
+++ b/src/platform/http_link_test.ts
@@ -3,7 +3,7 @@
 import { HttpLink } from "./http_link.ts";
 import { StandInServer } from "./stand_in/stand_in_server.ts";
 
-const SILENCE_MILLISECONDS = 200;
+const IDLE_TIMEOUT_MILLISECONDS = 200;
 /** How long a test waits for a request that should fail, in milliseconds. */
 const PATIENCE_MILLISECONDS = 8_000;
 /** The size of the pieces in which an endless response is sent. */
@@ -23,7 +23,7 @@
 /** Calls a path, and gets how the exchange ended. */
 async function getOutcome(link: HttpLink, path: string): Promise<string> {
   const request = { step: "read", method: "GET", path } as const;
-  const outcome = link.call({ ...request, silenceMilliseconds: SILENCE_MILLISECONDS })
+  const outcome = link.call({ ...request, idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS })
     .then(() => "complete", () => "failed");
   return await Promise.race([outcome, delay(PATIENCE_MILLISECONDS).then(() => "still open")]);
 }
@@ -38,7 +38,7 @@
   t.deepEqual([silent, await endless], ["failed", "failed"]);
 });
 
-test("a response without an end is given up", async (t) => {
+test("a response without an end is aborted", async (t) => {
   const { server, address } = await startEndlessServer();
   const link = HttpLink.create({ address, connections: 1, maximumResponseBytes: 4_000_000 });
   t.teardown(() => (link.close(), server.close()));
--- a/src/platform/keyed_topic_task.ts
+++ b/src/platform/keyed_topic_task.ts
@@ -138,7 +138,7 @@
     }
     const nextOffset = from + read.records.length;
     const remaining = read.end - nextOffset;
-    // Only the newest value of each key counts: a snapshot leaves out the superseded ones.
+    // Reads a snapshot next, which leaves out superseded values.
     this.#nextOffset = remaining > 0 ? undefined : nextOffset;
     return {
       update: {
--- a/src/platform/keyed_topic_task_test.ts
+++ b/src/platform/keyed_topic_task_test.ts
@@ -16,7 +16,7 @@
 const FAST_LINK_BYTES_PER_MILLISECOND = 5_000;
 /** A record that takes 1.2 s on a slow link: the response to a fast read times out after 200 ms. */
 const LARGE_RECORD_TEXT = "x".repeat(240_000);
-/** A record of which a response of the store holds one, and a part of the next. */
+/** A value so large that a response of the store holds only one. */
 const HALF_RESPONSE_TEXT = "x".repeat(600_000);
 /** The size of a transfer that outlasts any timeout: it takes 5 s on a slow link. */
 const LONG_TRANSFER_BYTES = 1_000_000;
@@ -108,7 +108,7 @@
     isFinished: ({ asOf }) => {
       updates += 1;
       if (updates > 1 && asOf > -Infinity) return true;
-      // One value more is written than a response holds, and another during each transfer.
+      // Two values are pending at first, and one is added during each transfer.
       if (updates === 1) put();
       put();
       return false;
@@ -117,7 +117,7 @@
   t.true(isReceived, `not current after ${updates} updates`);
 });
 
-test("a response that falls silent midway is read again", async (t) => {
+test("a response that stalls midway is read again", async (t) => {
   const store = StoreStandIn.create();
   store.put("keyed.op", "config", "small");
   const events: string[] = [];
--- a/src/platform/platform_host_test.ts
+++ b/src/platform/platform_host_test.ts
@@ -246,7 +246,7 @@
   });
 });
 
-test("odd entries in the executor list end no host, neither while listed nor at the next take-over", async (t) => {
+test("invalid entries in the executor list crash no host, neither while listed nor at the next take-over", async (t) => {
   const fleet = await startFleet(2);
   const entry = JSON.stringify({
     ...fleet.store.getValues("keyed.servers")["i-1"] as Record<string, unknown>,
--- a/src/platform/provider_client.ts
+++ b/src/platform/provider_client.ts
@@ -153,7 +153,7 @@
         step,
         method,
         path,
-        silenceMilliseconds: PROVIDER_TIMEOUT_MILLISECONDS,
+        idleTimeoutMilliseconds: PROVIDER_TIMEOUT_MILLISECONDS,
         ...options,
       });
     } catch (error) {
--- a/src/platform/published_records.ts
+++ b/src/platform/published_records.ts
@@ -24,7 +24,7 @@
 const MAXIMUM_LABELS = 100;
 /** The maximum capacity of an executor, in thousandths of a core, MB or accelerators. */
 const MAXIMUM_CAPACITY_AMOUNT = 1e9;
-/** The start time from which an entry's writer uses another unit, in milliseconds since 1970. */
+/** The maximum start time, in milliseconds since 1970: a larger number is in another unit. */
 const MAXIMUM_START_TIME = Date.UTC(2100);
 
 const resourcesSchema = z.object({
@@ -149,7 +149,7 @@
   }),
 });
 
-/** Decodes an executor's entry, or gets the reason why it is invalid. Other programs write there too. */
+/** Decodes an executor's entry, which any program may have written, or gets why it is invalid. */
 export function decodeExecutorEntry(id: string, value: Buffer): ExecutorEntry | string {
   if (!idSchema.safeParse(id).success) return "the id is not usable";
   if (value.length > MAXIMUM_ENTRY_BYTES) return `larger than ${MAXIMUM_ENTRY_BYTES} bytes`;
--- a/src/platform/published_state_test.ts
+++ b/src/platform/published_state_test.ts
@@ -68,7 +68,7 @@
   return { list: ExecutorList.create(log), reasons };
 }
 
-test("an odd entry names no executor, and the others hold", (t) => {
+test("an invalid entry in the executor list is skipped and does not affect the valid ones", (t) => {
   const { list, reasons } = createList();
   const odd = Object.entries(ODD_VALUES).map(([name, value]) => ({
     key: name.replaceAll(" ", "-"),
@@ -153,7 +153,7 @@
   t.deepEqual(startsByTime, once);
 });
 
-test("whatever is written beside it, a good entry holds, and each listed one can be used", (t) => {
+test("arbitrary entries in the executor list never hide a valid one or list an unusable one", (t) => {
   const oddNumber = fc.constantFrom("1e999", "-1e999", "1e308", "-1", "0.5", "9007199254740993");
   const oddText = fc.oneof(
     fc.json({ maxDepth: 3 }),
--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -9,7 +9,13 @@
 import type { JobSpecification } from "../../fleet/job_specification.ts";
 import type { MaintenanceWave } from "../../fleet/maintenance_wave.ts";
 import { RunEnd } from "../../fleet/run.ts";
-import { type Answer, AnswerOutcome, type Call, CallKind, isRefused } from "../../front/call.ts";
+import {
+  type Answer,
+  AnswerOutcome,
+  type Call,
+  CallKind,
+  isNotCarriedOut,
+} from "../../front/call.ts";
 import type { ForwardedCall } from "../../front/call_frame.ts";
 import { CallControl } from "../../owner/call_control.ts";
 import { FleetOwner } from "../../owner/fleet_owner.ts";
@@ -480,7 +486,7 @@
         this.#submissionChecker.handleAccepted(id, sentAt);
         this.#invariantChecker.addAcceptedJob(id, this.#now);
         this.#livenessChecker.addAcceptedJob(id);
-      } else if (isRefused(answer)) {
+      } else if (isNotCarriedOut(answer)) {
         this.#submissionChecker.handleRefused(id, answer.outcome);
       } else if (attempts > 1) {
         this.#schedule(
@@ -503,7 +509,7 @@
     if (isLate) this.#reconnect(front);
     const handle = () =>
       calls.handle(call, (truth) => {
-        if (isRefused(truth) && owner.findCustomer(call.jobId) === call.customer) {
+        if (isNotCarriedOut(truth) && owner.findCustomer(call.jobId) === call.customer) {
           this.#invariantChecker.addViolation("REFUSED", `the owner knows ${call.jobId}`);
         }
         const answer = this.#options.falsifiedInput?.answer?.(truth) ?? truth;
--- a/src/platform/stand_in/submission_checker.ts
+++ b/src/platform/stand_in/submission_checker.ts
@@ -25,10 +25,10 @@
 /**
  * Records the attempts to submit jobs, and reports violations:
  *
- * - `REFUSED`: no task of a job starts all of whose attempts were refused, and the owner refuses no
- *   job that it knows.
- * - `CONFIG`: nothing runs, and nothing is answered with success, that was sent with a key only after
- *   its withdrawal applied on all hosts.
+ * - `REFUSED`: a task starts although every attempt to submit its job was refused, or the owner
+ *   refuses a job that it knows.
+ * - `CONFIG`: a job runs or is accepted although it was sent after the withdrawal of its key applied
+ *   on all hosts.
  */
 export class SubmissionChecker {
   readonly #options: SubmissionCheckerOptions;
@@ -71,7 +71,9 @@
   /** Checks that an attempt may be answered with success. */
   handleAccepted(id: string, sentAt: number): void {
     const withdrawnAt = this.#withdrawnAt.get(this.#attempts.get(id)!.key) ?? Infinity;
-    if (sentAt > withdrawnAt) this.#options.onViolation("CONFIG", `${id} is accepted by no key`);
+    if (sentAt > withdrawnAt) {
+      this.#options.onViolation("CONFIG", `${id} is accepted after its key was withdrawn`);
+    }
   }
 
   /** Checks that a refused attempt is of a job that has not started, or was not the only one. */
@@ -90,7 +92,7 @@
     this.#checkNotRefused(id, attempts, "refused before");
     const withdrawnAt = this.#withdrawnAt.get(attempts.key) ?? Infinity;
     if (attempts.firstSentAt > withdrawnAt) {
-      this.#options.onViolation("CONFIG", `${id} runs and has no key`);
+      this.#options.onViolation("CONFIG", `${id} runs although its key was withdrawn before`);
     }
   }
 
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -190,7 +190,7 @@
     }
   }
 
-  /** Reads a page; a page after others is read again if the store does not serve it. */
+  /** Reads a page; pages after the first are retried, so that the earlier ones are not read again. */
   async #readNewestPage(
     options: Partition,
     after: string | undefined,
@@ -211,7 +211,7 @@
         if (attempt === maximumAttempts || !(error instanceof NoResponseError)) throw error;
         reason = getErrorMessage(error);
       }
-      this.#log("store-page-lost", { step, peer: this.#link.address, after, attempt, reason });
+      this.#log("store-page-retried", { step, peer: this.#link.address, after, attempt, reason });
       await delay(PAGE_RETRY_DELAY_MILLISECONDS);
     }
   }
@@ -225,14 +225,14 @@
   async #request(
     step: string,
     { topic, part }: Partition,
-    request: Omit<LinkRequest, "step" | "silenceMilliseconds">,
+    request: Omit<LinkRequest, "step" | "idleTimeoutMilliseconds">,
   ): Promise<LinkResponse> {
     const key = `${step} ${topic}/${part}`;
     const timeout = this.#timeouts.get(key) ?? AdaptiveTimeout.create();
     this.#timeouts.set(key, timeout);
-    const silenceMilliseconds = timeout.getMilliseconds();
+    const idleTimeoutMilliseconds = timeout.getMilliseconds();
     try {
-      const response = await this.#link.call({ step, ...request, silenceMilliseconds });
+      const response = await this.#link.call({ step, ...request, idleTimeoutMilliseconds });
       timeout.recordResponse(response.latencyMilliseconds);
       return response;
     } catch (error) {
--- a/src/platform/transfer_deadline.ts
+++ b/src/platform/transfer_deadline.ts
@@ -1,9 +1,6 @@
 /** The time limit of an HTTP exchange, which is extended while bytes are transferred. */
 
-/**
- * The minimum rate of a transfer, in bytes per millisecond: a fraction of the slowest link, which
- * several transfers share.
- */
+/** The minimum rate of a transfer, in bytes per millisecond: several share the slowest link. */
 const MINIMUM_BYTES_PER_MILLISECOND = 100;
 
 /** Options of a `TransferDeadline`. */
@@ -14,13 +11,13 @@
   sentBytes: number;
   /** How long the server may hold the request before it responds, in milliseconds. */
   waitMilliseconds: number;
-  /** How long the exchange may make no progress, in milliseconds. */
-  silenceMilliseconds: number;
+  /** How long nothing may arrive before the exchange times out, in milliseconds. */
+  idleTimeoutMilliseconds: number;
 }
 
 /**
- * Computes when an exchange times out: if nothing arrives for some time, or if less than a minimum
- * rate does. A large body on a slow link thus takes the time that it needs.
+ * Computes when an exchange times out: when nothing has arrived for the idle timeout, or when bytes
+ * are transferred more slowly than a minimum rate. A large body on a slow link gets more time.
  */
 export class TransferDeadline {
   readonly #options: TransferDeadlineOptions;
@@ -47,13 +44,13 @@
     return this.#receivedBytes;
   }
 
-  /** Gets the time when the exchange times out, unless it makes progress, in milliseconds. */
+  /** Gets the time when the exchange times out if nothing more arrives, in milliseconds. */
   getTime(): number {
-    const { sentAt, sentBytes, waitMilliseconds, silenceMilliseconds } = this.#options;
+    const { sentAt, sentBytes, waitMilliseconds, idleTimeoutMilliseconds } = this.#options;
     const transferredBytes = sentBytes + this.#receivedBytes;
-    const slowest = sentAt + waitMilliseconds + silenceMilliseconds +
+    const slowest = sentAt + waitMilliseconds + idleTimeoutMilliseconds +
       transferredBytes / MINIMUM_BYTES_PER_MILLISECOND;
     if (this.#lastReceivedAt === undefined) return slowest;
-    return Math.min(slowest, this.#lastReceivedAt + silenceMilliseconds);
+    return Math.min(slowest, this.#lastReceivedAt + idleTimeoutMilliseconds);
   }
 }
--- a/src/platform/transfer_deadline_test.ts
+++ b/src/platform/transfer_deadline_test.ts
@@ -8,7 +8,7 @@
   received: readonly [at: number, bytes: number][];
 }
 
-const SILENCE_MILLISECONDS = 200;
+const IDLE_TIMEOUT_MILLISECONDS = 200;
 
 /** Gets when an exchange that starts at 1,000 ms times out, in milliseconds. */
 function getTimeoutTime({ sentBytes, waitMilliseconds, received }: Exchange): number {
@@ -16,7 +16,7 @@
     sentAt: 1_000,
     sentBytes,
     waitMilliseconds,
-    silenceMilliseconds: SILENCE_MILLISECONDS,
+    idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
   });
   for (const [at, bytes] of received) {
     if (at >= deadline.getTime()) break;
