Give each pool the hosts of its long-running tasks before any backlog

Cause: hosts went to the pool with the largest shortfall first, so a pool that had lost its last usable host waited until the turn of another one was over; and a wave emptied all hosts of a pool at once.

Class: a floor that is only a term of a sum. Weighed: a wave that takes one host of a pool at a time (a pool of sixty would be late); a higher weight for small pools in the one order (still no bound); the two rules below.

Change: hosts that a pool needs for its long-running tasks, or one if anything waits there, are given first, if need be from the pool with the most beyond its own; a wave takes a host only if each long-running task there is allowed on another executor. One that can't be emptied yet no longer takes the place of the next.

--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -4,6 +4,7 @@
 import { type Host, HostState } from "../fleet/host.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { isDisruptionAllowed } from "./disruption_budget.ts";
+import { isEligible } from "./placement.ts";
 import { createHostOrderEntry, type EarlierHostOrders } from "./host_order_records.ts";
 import type { JournalEntry } from "./owner_ports.ts";
 import type { RunControl } from "./run_control.ts";
@@ -149,6 +150,28 @@
     if (executor !== undefined) executor.hasPendingMaintenance = true;
   }
 
+  /**
+   * Gets whether each long-running task on a host is allowed on another executor of its service,
+   * which may lack free capacity for now.
+   */
+  canMoveLongRunningTasks(host: Host): boolean {
+    const state = this.#state;
+    const executor = this.getExecutor(host);
+    if (executor === undefined) return true;
+    const rules = { evacuatedZones: state.evacuatedZones, now: state.now };
+    const others = [...state.getExecutorsOf(executor.entry.service)]
+      .filter((other) => other !== executor);
+    return [...executor.runs.values()].every(({ task }) =>
+      !task.step.specification.isLasting || others.some((other) => isEligible(other, task, rules))
+    );
+  }
+
+  /** Cordons a host: no tasks start there. */
+  cordon(host: Host): void {
+    const executor = this.getExecutor(host);
+    if (executor !== undefined) executor.isCordoned = true;
+  }
+
   /** Cordons a host, and stops its long-running tasks as disruption budgets allow. */
   empty(host: Host): void {
     const executor = this.getExecutor(host);
--- a/src/owner/maintenance_control.ts
+++ b/src/owner/maintenance_control.ts
@@ -265,8 +265,13 @@
     const costliest = candidates.pop();
     if (costliest !== undefined) candidates.splice(1, 0, costliest);
     const concurrency = this.#getConcurrency(progress, waiting.length + inProgress);
-    for (const host of candidates.slice(0, Math.max(0, concurrency - inProgress))) {
-      if (!hosts.isUp(host) || !hosts.reserve(host, "maintenance")) continue;
+    let remaining = concurrency - inProgress;
+    for (const host of candidates) {
+      if (remaining <= 0) break;
+      if (!hosts.isUp(host) || !hosts.canMoveLongRunningTasks(host)) continue;
+      if (!hosts.reserve(host, "maintenance")) continue;
+      hosts.cordon(host);
+      remaining -= 1;
       this.#setStage(progress.waveHosts.get(host.name)!, WaveStage.Emptying);
       state.log("host-emptied", {
         host: host.name,
--- a/src/owner/pool_need.ts
+++ b/src/owner/pool_need.ts
@@ -61,3 +61,11 @@
     policy.minimumHosts,
   );
 }
+
+/**
+ * Gets the number of hosts without which a pool can't run its long-running tasks or, if others wait,
+ * any task. Pools get these first, whatever the backlog of the others.
+ */
+export function getEssentialHosts(load: PoolLoad): number {
+  return Math.max(load.minimumLongRunningExecutors, load.waitingCpu > 0 ? 1 : 0);
+}
--- a/src/owner/pool_size_control.ts
+++ b/src/owner/pool_size_control.ts
@@ -8,7 +8,12 @@
 import { ORDER_RECORD_TIMEOUT_MILLISECONDS } from "./host_order_records.ts";
 import type { MaintenanceControl } from "./maintenance_control.ts";
 import type { MoveOrder } from "./owner_ports.ts";
-import { type CapacityPolicy, getHostsNeeded, type PoolLoad } from "./pool_need.ts";
+import {
+  type CapacityPolicy,
+  getEssentialHosts,
+  getHostsNeeded,
+  type PoolLoad,
+} from "./pool_need.ts";
 
 /** How long the peak need of a pool is kept, in milliseconds: several times the cost of a move. */
 const PEAK_RETENTION_MILLISECONDS = 1_800;
@@ -64,6 +69,8 @@
   /** The hosts that are up, usable and not reserved. */
   hosts: Host[];
   hostsNeeded: number;
+  /** The number of hosts that the pool gets before other pools get theirs for their load. */
+  essentialHosts: number;
   /** The number of hosts that are being moved to the pool. */
   incomingHosts: number;
 }
@@ -192,15 +199,12 @@
     const spareService = [...state.configuration.services.values()].find((service) =>
       service.isSpare
     );
-    const undersized = plans.filter((plan) => getShortfall(plan) > 0);
-    undersized.sort((first, second) => getShortfall(second) - getShortfall(first));
-    for (const plan of undersized) {
-      for (let shortfall = getShortfall(plan); shortfall > 0; shortfall -= 1) {
-        const host = spares.pop() ?? this.#takeSurplus(plans);
-        if (host === undefined) return;
-        this.#begin(host, plan.service);
-      }
-    }
+    this.#fill(
+      plans,
+      getEssentialShortfall,
+      () => spares.pop() ?? this.#takeSurplus(plans) ?? this.#takeInessential(plans),
+    );
+    this.#fill(plans, getShortfall, () => spares.pop() ?? this.#takeSurplus(plans));
     if (spareService === undefined) return;
     for (const plan of plans) {
       for (let surplus = -getShortfall(plan); surplus > 0; surplus -= 1) {
@@ -211,6 +215,24 @@
     }
   }
 
+  /** Moves hosts to the pools with a shortfall, the largest first, while there are hosts to take. */
+  #fill(
+    plans: readonly PoolPlan[],
+    getLack: (plan: PoolPlan) => number,
+    takeHost: () => Host | undefined,
+  ): void {
+    const undersized = plans.filter((plan) => getLack(plan) > 0);
+    undersized.sort((first, second) => getLack(second) - getLack(first));
+    for (const plan of undersized) {
+      while (getLack(plan) > 0) {
+        const host = takeHost();
+        if (host === undefined) return;
+        this.#begin(host, plan.service);
+        plan.incomingHosts += 1;
+      }
+    }
+  }
+
   #begin(host: Host, to: string): void {
     const { state, hosts } = this.#options;
     if (!hosts.reserve(host, "move")) return;
@@ -234,10 +256,12 @@
     for (const service of state.configuration.services.values()) {
       if (service.isSpare) continue;
       const { name } = service;
+      const load = this.#getLoad(name);
       plans.set(name, {
         service: name,
         hosts: [],
-        hostsNeeded: this.#getNeed(name),
+        hostsNeeded: this.#getNeed(name, load),
+        essentialHosts: getEssentialHosts(load),
         incomingHosts: 0,
       });
     }
@@ -268,9 +292,8 @@
   }
 
   /** Gets the number of hosts that a service needs: the peak within the retention time. */
-  #getNeed(service: string): number {
+  #getNeed(service: string, load: PoolLoad): number {
     const { state, policy } = this.#options;
-    const load = this.#getLoad(service);
     const need = getHostsNeeded(load, policy);
     const peak = this.#peaks.get(service) ?? this.#getFirstPeak(service);
     const isNewPeak = need >= peak.need || state.now - peak.at > PEAK_RETENTION_MILLISECONDS;
@@ -311,7 +334,7 @@
     };
     for (const executor of state.getExecutorsOf(service)) {
       load.usedCpu += executor.getReserved().cpu;
-      // Until it answers, an entry may come from another program.
+      // An entry whose executor has never answered may come from another program.
       if (executor.hasAcceptedFence) {
         load.hostCpu = Math.max(load.hostCpu, executor.entry.capacity.cpu);
       }
@@ -363,6 +386,17 @@
     return donor === undefined ? undefined : this.#takeCheapestHost(donor);
   }
 
+  /** Takes a host from the pool that has the most beyond its essential ones. */
+  #takeInessential(plans: PoolPlan[]): Host | undefined {
+    const donors = plans.filter((plan) => plan.hosts.length > plan.essentialHosts);
+    donors.sort((first, second) => getInessentialCount(second) - getInessentialCount(first));
+    for (const donor of donors) {
+      const host = this.#takeCheapestHost(donor);
+      if (host !== undefined) return host;
+    }
+    return undefined;
+  }
+
   /** Removes the host with the lowest emptying cost from a pool, and returns it. */
   #takeCheapestHost(plan: PoolPlan): Host | undefined {
     const { hosts, maintenance } = this.#options;
@@ -391,6 +425,16 @@
   return plan.hostsNeeded - plan.hosts.length - plan.incomingHosts;
 }
 
+/** Gets how many essential hosts a pool lacks. */
+function getEssentialShortfall(plan: PoolPlan): number {
+  return plan.essentialHosts - plan.hosts.length - plan.incomingHosts;
+}
+
+/** Gets how many hosts a pool has beyond its essential ones. */
+function getInessentialCount(plan: PoolPlan): number {
+  return plan.hosts.length - plan.essentialHosts;
+}
+
 /** Raises the minimum number of executors of a load to what a step of long-running tasks needs. */
 function raiseLongRunningMinimum(
   load: { minimumLongRunningExecutors: number },
