Show that a task is run again while its end is only reported late

After its lease the owner counted its runs as lost and started them elsewhere; 0.1 s later the executor reported them as done, from before the lease ended. A lease that ends proves that nothing runs there, not that nothing has been done.

--- /dev/null
+++ b/src/owner/silent_executor_test.ts
@@ -0,0 +1,73 @@
+import test from "ava";
+import { Configuration } from "../fleet/configuration.ts";
+import { RunEnd } from "../fleet/run.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createOwnerHarness } from "../stand_ins/owner_harness.ts";
+import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
+import { OrderOutcome } from "./owner_ports.ts";
+
+const CONFIGURATION = Configuration.create({
+  version: 1,
+  queues: [createQueue()],
+  services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+  customers: [],
+  largestBodyBytes: 1,
+});
+
+const EXECUTORS = ["i-1", "i-2"].map((id) => createListedExecutor({ id }));
+const STEP_MILLISECONDS = 25;
+
+interface Silence {
+  /** How long polls of the first executor fail, in milliseconds. */
+  milliseconds: number;
+  /** Whether the executor stays in the list meanwhile. */
+  isListed: boolean;
+  isLasting: boolean;
+}
+
+/** Gets the executors on which a task starts while the first of them does not answer. */
+function getStarts({ milliseconds, isListed, isLasting }: Silence): string[] {
+  const { owner, starts, advance, reportNoRuns } = createOwnerHarness({
+    configuration: CONFIGURATION,
+    executors: EXECUTORS,
+  });
+  for (const executor of EXECUTORS) reportNoRuns(executor);
+  const specification = {
+    text: "",
+    steps: [createStepSpecification({ isLasting })],
+    repeats: 0,
+    firstAt: 0,
+    intervalMilliseconds: 0,
+  };
+  advance(() => owner.submit({ id: "j", queue: "tugs", customer: "", specification }, () => {}));
+  for (let step = 0; step < 4; step += 1) advance();
+  const { executor, task, run } = starts[0]!;
+  const other = EXECUTORS.find(({ id }) => id !== executor.id)!;
+  owner.handleStartAnswer(executor.id, task, run, { outcome: OrderOutcome.Done });
+  if (!isListed) advance(() => owner.setExecutors([other]));
+  const polledAt = () => Number.MAX_SAFE_INTEGER;
+  for (let elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
+    advance(() =>
+      owner.handlePollAnswer(executor.id, polledAt(), { outcome: OrderOutcome.Unanswered })
+    );
+  }
+  const ended = [{ number: 1, task, run, end: RunEnd.Done, checkpoint: "" }];
+  const report = { born: executor.born, executorTime: milliseconds, running: [], ended };
+  advance(() =>
+    owner.handlePollAnswer(executor.id, polledAt(), { outcome: OrderOutcome.Done, report })
+  );
+  for (let step = 0; step < 4; step += 1) advance();
+  return starts.map((start) => start.executor.id === executor.id ? "silent" : "other");
+}
+
+test("a task on an executor that is only slow to report its end is not run again", (t) => {
+  t.deepEqual(getStarts({ milliseconds: 4_500, isListed: true, isLasting: false }), ["silent"]);
+});
+
+test("a task on a silent executor is run again after its lease if the executor is gone or stays silent", (t) => {
+  t.snapshot({
+    "it left the list": getStarts({ milliseconds: 4_500, isListed: false, isLasting: false }),
+    "it is silent for long": getStarts({ milliseconds: 7_000, isListed: true, isLasting: false }),
+    "long-running task": getStarts({ milliseconds: 4_500, isListed: true, isLasting: true }),
+  });
+});
