Wait for the late report of a silent executor before a task runs again

Class: a lease that ends is proof about what runs, used as proof about what was done. Weighed: never acknowledging the late end (the executor then lists it for ever); waiting for the report without end (a host that is cut off would hold its tasks); a bounded wait while the executor's own entry in the list shows that it lives.

Change: runs that can be done stay assigned for up to 6 s of silence while the executor is listed; it leaves the list about 4.5 s after it stops. Long-running tasks, which are never done, start again after the lease as before.

Open: after a take-over, tasks that may be on an executor that the new owner can't reach still start again when the earlier lease is over.

--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -26,6 +26,11 @@
 const POLL_RETRY_INTERVAL_MILLISECONDS = 200;
 /** The assumed pace of an adopted run, in percent: an earlier owner may have reduced it. */
 const ADOPTED_PACE_PERCENT = 50;
+/**
+ * How long a silent executor that is still listed may take to report the ends of its runs, in
+ * milliseconds: more than the list takes to drop an executor that has stopped.
+ */
+const LATE_REPORT_MILLISECONDS = 6_000;
 /** How long after its deadline an unanswered start is still considered possible, in milliseconds. */
 const START_DEADLINE_MARGIN_MILLISECONDS = 50;
 
@@ -290,16 +295,22 @@
     }
   }
 
-  /** Removes the runs of an executor whose lease has expired, and its journal record. */
+  /**
+   * Removes the runs of an executor whose lease has expired, and its journal record. Nothing runs
+   * there any more, but a task may have been done before, and its end may only be reported late.
+   */
   #handleExpiredLease(executor: Executor): void {
     const state = this.#state;
-    if (executor.pollsFailingSince === undefined || state.now <= executor.getLeaseExpiryTime()) {
-      return;
-    }
+    const { pollsFailingSince } = executor;
+    if (pollsFailingSince === undefined || state.now <= executor.getLeaseExpiryTime()) return;
+    const mayReportLate = executor.isListed &&
+      state.now - pollsFailingSince < LATE_REPORT_MILLISECONDS;
     for (const assigned of [...executor.runs.values()]) {
+      if (mayReportLate && !assigned.task.step.specification.isLasting) continue;
       this.#runs.handleUnreportedEnd(executor, assigned, "lease expired");
     }
-    if (executor.record === ExecutorRecordState.Stored && executor.hasAcceptedFence) {
+    const isResolved = executor.runs.size === 0;
+    if (isResolved && executor.record === ExecutorRecordState.Stored && executor.hasAcceptedFence) {
       this.#deleteRecord(executor);
     }
   }
