Leave a slow owner that renews its claim in place, and slow claims that fail

Cause: on hosts of a twelfth of a core, an owner under load renews every 1 to 2 s. Nothing in it depends on a fault.

Class: a timeout that does not follow the time that the work takes, and a retry without a backoff. Weighed: one longer timeout for all (each owner that is lost costs its seconds, also on fast hosts); claims only by hosts with measured spare processor (a host is idle until it owns); the two below.

Change: the holder publishes with its claim how long others wait for the next renewal: 1 s, more on a host of under half a core, and three times its longest recent interval, 4 s at most. A host whose claim was taken over within 15 s waits longer before each further one. Claims have connections of their own.

--- a/src/ownership/ownership_ports.ts
+++ b/src/ownership/ownership_ports.ts
@@ -43,6 +43,8 @@
   isReleased: boolean;
   /** The number of renewals. */
   renewal: number;
+  /** How long others wait for the next renewal, in milliseconds; the minimum if unset. */
+  timeoutMilliseconds?: number;
 }
 
 /** The result of appending a claim: `lost` if another claim was appended first. */
--- a/src/ownership/ownership_task.ts
+++ b/src/ownership/ownership_task.ts
@@ -2,15 +2,18 @@
 
 import type { EventLog } from "../events/mod.ts";
 import { type ElapsedClock, Task } from "../tasks/mod.ts";
+import { ClaimBackoff } from "./claim_backoff.ts";
 import type { AppendClaim, Claim, ClaimAppendResult } from "./ownership_ports.ts";
+import {
+  getPublishedTimeout,
+  MINIMUM_RENEWAL_TIMEOUT_MILLISECONDS,
+  RenewalTimeout,
+} from "./renewal_timeout.ts";
 
 /** The interval at which the owner renews its claim, in milliseconds. */
 export const RENEWAL_INTERVAL_MILLISECONDS = 300;
-/**
- * How long a claim may go unrenewed before another host takes over, in milliseconds: more
- * than three renewal intervals.
- */
-export const TAKE_OVER_TIMEOUT_MILLISECONDS = 1_000;
+/** The minimum time that a claim goes unrenewed before another host takes over, in milliseconds. */
+export const TAKE_OVER_TIMEOUT_MILLISECONDS = MINIMUM_RENEWAL_TIMEOUT_MILLISECONDS;
 /** How long an owner may start tasks after the last confirmation of its claim, in milliseconds. */
 export const CLAIM_VALIDITY_MILLISECONDS = 2_000;
 /** The interval at which the task checks whether to claim or renew, in milliseconds. */
@@ -69,6 +72,8 @@
   address: string;
   /** Gets the delay before this host claims an epoch, in milliseconds. */
   getDelay: (epoch: number) => number;
+  /** The number of cores that this process may use. */
+  cores: number;
   /** Appends a claim. */
   appendClaim: AppendClaim;
   /** Called with the current ownership whenever the claims are read or renewed. */
@@ -85,6 +90,8 @@
 export class OwnershipTask extends Task<OwnershipMessage> {
   readonly #options: OwnershipTaskOptions;
   readonly #timer: NodeJS.Timeout;
+  readonly #renewalTimeout: RenewalTimeout;
+  readonly #backoff = ClaimBackoff.create();
   #claim: Claim | undefined;
   #end: number | undefined;
   #lastRenewalSeenAt: number;
@@ -100,6 +107,7 @@
   private constructor(options: OwnershipTaskOptions) {
     super({ name: "ownership" });
     this.#options = options;
+    this.#renewalTimeout = RenewalTimeout.create(options.cores);
     this.#lastRenewalSeenAt = options.getMonotonicTime();
     this.#timer = setInterval(() => this.post({ kind: "tick" }), TICK_INTERVAL_MILLISECONDS);
   }
@@ -153,7 +161,11 @@
     const isOtherClaim = claim?.epoch !== this.#claim?.epoch ||
       claim?.holder !== this.#claim?.holder;
     const hasChanged = isOtherClaim || claim?.isReleased !== this.#claim?.isReleased;
-    if (hasChanged || claim?.renewal !== this.#claim?.renewal) this.#lastRenewalSeenAt = getNow();
+    const isRenewed = hasChanged || claim?.renewal !== this.#claim?.renewal;
+    if (isRenewed && !hasChanged && this.#isMine()) {
+      this.#renewalTimeout.recordInterval(getNow() - this.#lastRenewalSeenAt, getNow());
+    }
+    if (isRenewed) this.#lastRenewalSeenAt = getNow();
     if (hasChanged) {
       log("claim-seen", {
         epoch: claim?.epoch,
@@ -168,17 +180,29 @@
     if (isFromEarlierProcess) this.#endedHolder = claim.holder;
     if (isOtherClaim) this.#confirmedAt = -Infinity;
     this.#claim = claim;
+    this.#updateBackoff();
     if (this.#isMine()) this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
     onOwnership({ claim, isMine: this.#isMine(), confirmedAt: this.#confirmedAt });
   }
 
+  #updateBackoff(): void {
+    const now = this.#options.getMonotonicTime();
+    if (this.#isMine()) this.#backoff.recordHeld(now);
+    else if (this.#claim?.holder === this.#options.holder) this.#backoff.recordReleased();
+    else this.#backoff.recordTakenOver(now);
+  }
+
   #tick(): void {
     const { getMonotonicTime: getNow } = this.#options;
     if (this.#isAppending || this.#end === undefined) return;
     if (this.#isMine()) {
       if (!this.#isReleasing && getNow() - this.#renewedAt < RENEWAL_INTERVAL_MILLISECONDS) return;
-      const renewal = this.#claim!.renewal + 1;
-      return this.#append({ ...this.#claim!, renewal, isReleased: this.#isReleasing });
+      return this.#append({
+        ...this.#claim!,
+        renewal: this.#claim!.renewal + 1,
+        isReleased: this.#isReleasing,
+        timeoutMilliseconds: this.#renewalTimeout.getMilliseconds(),
+      });
     }
     if (this.#shouldClaim()) this.#claimFleet();
   }
@@ -188,12 +212,13 @@
     if (!this.#isEnabled || this.#isReleasing) return false;
     if (clock.getElapsed() - this.#claimReadAt > MAXIMUM_CLAIM_READ_AGE_MILLISECONDS) return false;
     const isHeld = this.#claim !== undefined && !this.#claim.isReleased;
-    const timeout = isHeld ? TAKE_OVER_TIMEOUT_MILLISECONDS : 0;
+    const timeout = isHeld ? getPublishedTimeout(this.#claim!.timeoutMilliseconds) : 0;
     const epoch = (this.#claim?.epoch ?? 0) + 1;
     // A holder whose process has ended can't renew: renewals that are read after this were appended
     // before it ended.
     if (isHeld && this.#claim!.holder === this.#endedHolder) return true;
-    return getNow() - this.#lastRenewalSeenAt >= timeout + getDelay(epoch);
+    const delay = getDelay(epoch) + this.#backoff.getDelay();
+    return getNow() - this.#lastRenewalSeenAt >= timeout + delay;
   }
 
   #claimFleet(): void {
@@ -204,9 +229,19 @@
       previous: this.#claim?.hostName,
       released: this.#claim?.isReleased,
       silent: Math.round(getNow() - this.#lastRenewalSeenAt),
+      timeout: this.#claim?.timeoutMilliseconds,
+      backoff: this.#backoff.getDelay(),
       end: this.#end,
     });
-    this.#append({ epoch, holder, hostName, address, isReleased: false, renewal: 0 });
+    this.#append({
+      epoch,
+      holder,
+      hostName,
+      address,
+      isReleased: false,
+      renewal: 0,
+      timeoutMilliseconds: this.#renewalTimeout.getMilliseconds(),
+    });
   }
 
   #append(claim: Claim): void {
--- a/src/ownership/ownership_task_test.ts
+++ b/src/ownership/ownership_task_test.ts
@@ -18,6 +18,14 @@
   }
 }
 
+/** Options of the harness. */
+interface HarnessOptions {
+  /** How long a renewal takes until it has its effect and is answered, in milliseconds. */
+  renewalMilliseconds?: number;
+  /** The number of cores of each host. */
+  cores?: number;
+}
+
 interface TestHost {
   name: string;
   task: OwnershipTask;
@@ -32,7 +40,8 @@
   advance: (milliseconds: number) => Promise<void>;
 }
 
-function createHarness(names: string[]): Harness {
+function createHarness(names: string[], options: HarnessOptions): Harness {
+  const { renewalMilliseconds = 0, cores = 1 } = options;
   const clock = fakeTimers.install({
     toFake: ["setInterval", "clearInterval", "setTimeout", "clearTimeout", "Date", "performance"],
   });
@@ -45,7 +54,13 @@
       hostName: name,
       address: `10.0.0.${index + 1}:7000`,
       getDelay: () => index * 100,
-      appendClaim: (claim, at) => Promise.resolve(log.append(name, claim, at)),
+      cores,
+      appendClaim: async (claim, at) => {
+        if (claim.renewal > 0 && renewalMilliseconds > 0) {
+          await new Promise((resolve) => setTimeout(resolve, renewalMilliseconds));
+        }
+        return log.append(name, claim, at);
+      },
       onOwnership: (view) => views.push(view),
       clock: elapsed,
       getMonotonicTime: () => performance.now(),
@@ -83,8 +98,11 @@
   return [...epochs];
 }
 
-async function runScenario(act: (harness: Harness) => Promise<unknown>): Promise<unknown> {
-  const harness = createHarness(["front-a", "front-b", "front-c"]);
+async function runScenario(
+  act: (harness: Harness) => Promise<unknown>,
+  options: HarnessOptions = {},
+): Promise<unknown> {
+  const harness = createHarness(["front-a", "front-b", "front-c"], options);
   try {
     return await act(harness);
   } finally {
@@ -133,3 +151,26 @@
   });
   t.snapshot(result);
 });
+
+test.serial("a holder whose renewals are slow is not taken over while it renews", async (t) => {
+  const slow = { renewalMilliseconds: 1_500, cores: 0.12 };
+  const result = await runScenario(async (harness) => {
+    await harness.advance(30_000);
+    return getEpochs(harness);
+  }, slow);
+  t.deepEqual(result, [[1, "front-a"]]);
+});
+
+test.serial("hosts of which none can renew in time take over less and less often", async (t) => {
+  const failing = { renewalMilliseconds: 6_000 };
+  const result = await runScenario(async (harness) => {
+    const counts: number[] = [];
+    for (let minute = 0; minute < 3; minute += 1) {
+      const before = getEpochs(harness).length;
+      await harness.advance(60_000);
+      counts.push(getEpochs(harness).length - before);
+    }
+    return counts;
+  }, failing);
+  t.snapshot(result);
+});
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -65,6 +65,8 @@
   readonly #metricsPort: number | undefined;
   readonly #clock = ElapsedClock.create();
   readonly #store: StoreClient;
+  /** Connections for claims alone, so that no transfer delays a renewal. */
+  readonly #claimStore: StoreClient;
   readonly #provider: ProviderClient | undefined;
   readonly #adviser: AdviserClient | undefined;
   readonly #operatorState: OperatorState;
@@ -93,6 +95,7 @@
     this.#log = log;
     this.#metricsPort = options.metricsPort;
     this.#store = StoreClient.create(settings.storeAddress, log);
+    this.#claimStore = StoreClient.create(settings.storeAddress, log);
     this.#provider = settings.providerAddress === undefined ? undefined : ProviderClient.create({
       address: settings.providerAddress,
       holder: settings.name,
@@ -142,8 +145,8 @@
     if (this.#metricsPort !== undefined) {
       await this.#metrics.listen({ host: settings.peerAddress.host, port: this.#metricsPort });
     }
-    this.#subscribe("keyed.op", 0, (update) => this.#handleOperatorRecords(update));
-    this.#subscribe(CLAIMS_TOPIC, 0, (update) => this.#handleClaims(update));
+    this.#subscribe(this.#store, "keyed.op", 0, (update) => this.#handleOperatorRecords(update));
+    this.#subscribe(this.#claimStore, CLAIMS_TOPIC, 0, (update) => this.#handleClaims(update));
     this.#log("host-started", {
       zone: settings.zone,
       callers: formatSocketAddress(settings.callerAddress),
@@ -202,6 +205,7 @@
     this.#provider?.close();
     this.#adviser?.close();
     this.#store.close();
+    this.#claimStore.close();
   }
 
   #createFront(): FrontTask {
@@ -238,7 +242,8 @@
       hostName: this.#settings.name,
       address: formatSocketAddress(this.#settings.peerAddress),
       getDelay: (epoch) => getClaimDelay({ holder, epoch, cores: this.#settings.cores }),
-      appendClaim: createClaimAppend(this.#store),
+      cores: this.#settings.cores,
+      appendClaim: createClaimAppend(this.#claimStore),
       onOwnership: (view) => this.#handleOwnership(view),
       clock: this.#clock,
       getMonotonicTime: () => performance.now(),
@@ -247,12 +252,13 @@
   }
 
   #subscribe(
+    store: StoreClient,
     topic: string,
     pauseMilliseconds: number,
     notify: (update: KeyedTopicUpdate) => void,
   ): KeyedTopicTask {
     const task = KeyedTopicTask.create({
-      store: this.#store,
+      store,
       topic,
       waitMilliseconds: READ_WAIT_MILLISECONDS,
       pauseMilliseconds,
@@ -343,6 +349,7 @@
       log: this.#log,
     });
     const topic = this.#subscribe(
+      this.#store,
       "keyed.servers",
       EXECUTOR_LIST_DELAY_MILLISECONDS,
       (update) => {
