Limit the unanswered starts by a window that follows their latency

Cause: on a link of 2 Mbit/s the owner sent every start that had room at once.

Class: an unbounded number of requests in flight. Weighed: a fixed limit (too small for a fast link or too large for a slow one); a rate from the settings' bandwidth (says nothing of the processor, nor of other traffic); a congestion window.

--- a/src/owner/dispatch_control.ts
+++ b/src/owner/dispatch_control.ts
@@ -58,6 +58,7 @@
         .map((step) => ({ step, rank: rankStep(step) }));
       ranked.sort((first, second) => compareRanks(first.rank, second.rank));
       for (const { step } of ranked) {
+        if (!state.startWindow.hasRoom(state.now)) return;
         if (!mayFit(step, free)) continue;
         this.#startStep(step, pool, rules);
         if (state.ready.has(step)) free = getLargestFreeAmounts(pool);
@@ -83,6 +84,7 @@
     const waiting = step.tasks.filter((task) => task.state === TaskState.Waiting);
     if (step.specification.isGang) return this.#startGang(step, waiting, pool, rules);
     for (const task of waiting) {
+      if (!state.startWindow.hasRoom(state.now)) return;
       if (!this.#fitsUnderCeiling(task, 1)) return;
       const executor = this.#choose(task, pool, rules);
       if (executor === undefined) return;
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -353,6 +353,7 @@
       jobs: state.jobs.size,
       readySteps: state.ready.size,
       running,
+      startWindow: state.startWindow.getLimit(),
     };
   }
 
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -10,6 +10,7 @@
 import { DurationEstimator } from "./duration_estimator.ts";
 import type { JournalEntry, OwnerPorts } from "./owner_ports.ts";
 import { createQueueEntry } from "./queue_records.ts";
+import { StartWindow } from "./start_window.ts";
 
 /** The limits and durations that the owner's decisions respect. */
 export interface OwnerLimits {
@@ -95,6 +96,8 @@
   readonly usage = new Map<string, Resources>();
   /** Estimates task durations. */
   readonly durationEstimator = DurationEstimator.create();
+  /** Limits the unanswered start orders. */
+  readonly startWindow = StartWindow.create();
   /** Forecasts the load from arriving jobs. */
   readonly arrivals = ArrivalMeter.create();
   /**
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -34,6 +34,8 @@
 /** Decides about individual runs. */
 export class RunControl {
   readonly #state: FleetState;
+  /** The unanswered start orders: their numbers in the start window and send times, by run. */
+  readonly #startOrders = new Map<string, { order: number; sentAt: number }>();
 
   private constructor(state: FleetState) {
     this.#state = state;
@@ -73,6 +75,8 @@
       load: Math.round(executor.getReservedCpuFraction() * 100),
       waited: Math.round(state.now - task.step.readyAt),
     });
+    const order = state.startWindow.recordSent(state.now);
+    this.#startOrders.set(getOrderKey(task.name, run.number), { order, sentAt: state.now });
     state.ports.start({
       executor: executor.entry,
       task: task.name,
@@ -93,6 +97,7 @@
     answer: OrderAnswer,
   ): void {
     const state = this.#state;
+    this.#recordAnswer(taskName, runNumber);
     const executor = state.executors.get(executorId);
     const assigned = executor?.runs.get(taskName);
     if (executor === undefined || assigned === undefined || assigned.run.number !== runNumber) {
@@ -250,6 +255,17 @@
     }
   }
 
+  /** Updates the start window: a start that timed out counts with its timeout as latency. */
+  #recordAnswer(taskName: string, runNumber: number): void {
+    const { startWindow, now } = this.#state;
+    const key = getOrderKey(taskName, runNumber);
+    const pending = this.#startOrders.get(key);
+    if (pending === undefined) return;
+    this.#startOrders.delete(key);
+    startWindow.recordAnswer(pending.order, now - pending.sentAt, now);
+    this.#state.needsDispatch = true;
+  }
+
   /** Requeues a task, unless it is done or has another run. */
   #requeue(task: JobTask): void {
     if (task.run !== undefined || task.state === TaskState.Done) return;
@@ -315,3 +331,7 @@
     }
   }
 }
+
+function getOrderKey(taskName: string, runNumber: number): string {
+  return `${taskName}/${runNumber}`;
+}
