Rank the ready steps of all services together

Cause: with the window of unanswered starts full, a dispatch ended after the service that it met first.

Change: one ranking over all services: long-running tasks, then what can still be met, by priority and deadline.

--- a/src/owner/dispatch_control.ts
+++ b/src/owner/dispatch_control.ts
@@ -4,7 +4,7 @@
 import { type JobStep, type JobTask, TaskState } from "../fleet/job.ts";
 import { addResources, fitsCapacity, NO_RESOURCES, type Resources } from "../fleet/resources.ts";
 import type { FleetState } from "./fleet_state.ts";
-import { compareRanks, type RankStep } from "./step_ranking.ts";
+import { compareRanks, type RankStep, type StepRank } from "./step_ranking.ts";
 import {
   chooseExecutor,
   getLargestFreeAmounts,
@@ -30,6 +30,20 @@
   getTicket: (step: JobStep, executor: Executor) => string | undefined;
 }
 
+/** The executors of a service that accept starts. */
+interface ServicePool {
+  pool: Executor[];
+  /** The largest free amount of each resource on any of them. */
+  free: Resources;
+}
+
+/** A ready step that may start. */
+interface Candidate {
+  step: JobStep;
+  service: ServicePool;
+  rank: StepRank;
+}
+
 /** Decides which tasks start on which executors. */
 export class DispatchControl {
   readonly #options: DispatchControlOptions;
@@ -42,28 +56,40 @@
     return new DispatchControl(options);
   }
 
-  /** Starts all tasks that may start now. */
+  /**
+   * Starts all tasks that may start now. The services are ranked together, since they share the
+   * window of unanswered starts.
+   */
   run(): void {
-    const { state, rankStep } = this.#options;
+    const { state } = this.#options;
     if (!state.needsDispatch || !state.mayStart) return;
     state.needsDispatch = false;
     const rules = { evacuatedZones: state.evacuatedZones, now: state.now };
-    for (const [service, steps] of this.#groupByService()) {
-      const pool = [...state.getExecutorsOf(service)].filter((executor) =>
+    const candidates = this.#getCandidates();
+    candidates.sort((first, second) => compareRanks(first.rank, second.rank));
+    for (const { step, service } of candidates) {
+      if (!state.startWindow.hasRoom(state.now)) return;
+      if (!mayFit(step, service.free)) continue;
+      this.#startStep(step, service.pool, rules);
+      if (state.ready.has(step)) service.free = getLargestFreeAmounts(service.pool);
+    }
+  }
+
+  /** Gets the ready steps of all services that may fit on an executor, with their ranks. */
+  #getCandidates(): Candidate[] {
+    const { state, rankStep } = this.#options;
+    const candidates: Candidate[] = [];
+    for (const [name, steps] of this.#groupByService()) {
+      const pool = [...state.getExecutorsOf(name)].filter((executor) =>
         executor.canStartTasks(state.now)
       );
       if (pool.length === 0) continue;
-      let free = getLargestFreeAmounts(pool);
-      const ranked = steps.filter((step) => mayFit(step, free))
-        .map((step) => ({ step, rank: rankStep(step) }));
-      ranked.sort((first, second) => compareRanks(first.rank, second.rank));
-      for (const { step } of ranked) {
-        if (!state.startWindow.hasRoom(state.now)) return;
-        if (!mayFit(step, free)) continue;
-        this.#startStep(step, pool, rules);
-        if (state.ready.has(step)) free = getLargestFreeAmounts(pool);
+      const service = { pool, free: getLargestFreeAmounts(pool) };
+      for (const step of steps) {
+        if (mayFit(step, service.free)) candidates.push({ step, service, rank: rankStep(step) });
       }
     }
+    return candidates;
   }
 
   #groupByService(): Map<string, JobStep[]> {
--- a/src/owner/dispatch_control_test.ts
+++ b/src/owner/dispatch_control_test.ts
@@ -12,13 +12,21 @@
 import { RunControl } from "./run_control.ts";
 import { createArrivalRanking } from "./step_ranking.ts";
 
+const SERVICES = ["tugdesk", "berthbook"];
 const EXECUTORS = 30;
 const CAPACITY = { cpu: 8_000, memory: 16_000, accelerators: 0 };
 /** The CPU demand of each task: two fit on an executor, and leave a rest. */
 const TASK_CPU = 3_000;
 
-/** Creates the dispatch of one service with a backlog, and counts the reads of executors' capacities. */
-function createDispatch(jobs: number) {
+interface DispatchCase {
+  /** The executors of each service. */
+  executors: number;
+  /** The jobs of each service, with whether their tasks are long-running, in order of arrival. */
+  jobs: readonly { service: string; isLasting: boolean }[];
+}
+
+/** Creates a dispatch, and counts the reads of executors' capacities. */
+function createDispatch({ executors, jobs }: DispatchCase) {
   let reads = 0;
   const starts: StartOrder[] = [];
   const ports = createOwnerPorts({ start: (order) => starts.push(order) });
@@ -36,14 +44,15 @@
   });
   state.setConfiguration(Configuration.create({
     version: 1,
-    queues: [createQueue()],
+    queues: SERVICES.map((service) => createQueue({ name: service, service })),
     services: [],
     customers: [],
     largestBodyBytes: 1,
   }));
   state.mayStart = true;
-  for (let number = 0; number < EXECUTORS; number += 1) {
-    const entry = createListedExecutor({ id: `i-${number}`, capacity: CAPACITY });
+  for (let number = 0; number < executors * SERVICES.length; number += 1) {
+    const service = SERVICES[number % SERVICES.length]!;
+    const entry = createListedExecutor({ id: `i-${number}`, service, capacity: CAPACITY });
     Object.defineProperty(entry, "capacity", { get: () => ((reads += 1), CAPACITY) });
     const executor = Executor.create(entry);
     executor.hasAcceptedFence = true;
@@ -51,24 +60,24 @@
     executor.record = ExecutorRecordState.Stored;
     state.executors.set(executor.id, executor);
   }
-  for (let number = 0; number < jobs; number += 1) {
+  jobs.forEach(({ service, isLasting }, number) => {
     const demand = { cpu: TASK_CPU, memory: 100, accelerators: 0 };
     const specification = {
       text: "",
-      steps: [createStepSpecification({ demand })],
+      steps: [createStepSpecification({ demand, isLasting })],
       repeats: 0,
       firstAt: 0,
       intervalMilliseconds: 0,
     };
     const job = Job.create({
       id: `j${number}`,
-      queue: "tugs",
+      queue: service,
       customer: "",
       specification,
       acceptedAt: number,
     });
     for (const step of job.addOccurrence(0, TaskState.Waiting)) state.ready.add(step);
-  }
+  });
   const dispatch = DispatchControl.create({
     state,
     runs: RunControl.create(state),
@@ -86,10 +95,24 @@
 }
 
 test("a dispatch of a full pool looks at each executor once, however many jobs wait", (t) => {
-  const { run, starts } = createDispatch(2 * EXECUTORS + 1_000);
+  const jobs = Array.from(
+    { length: 2 * EXECUTORS + 1_000 },
+    () => ({ service: "tugdesk", isLasting: false }),
+  );
+  const { run, starts } = createDispatch({ executors: EXECUTORS, jobs });
   run();
   const tasks = starts.map(({ task }) => task);
   t.deepEqual(tasks, Array.from({ length: 2 * EXECUTORS }, (_, number) => `j${number}.0.0.0`));
-  t.true(run() <= 2 * EXECUTORS);
+  t.true(run() <= 2 * SERVICES.length * EXECUTORS);
   t.is(starts.length, 2 * EXECUTORS);
 });
+
+test("long-running tasks of one service start before the backlog of another fills the window", (t) => {
+  const backlog = Array.from({ length: 200 }, () => ({ service: "tugdesk", isLasting: false }));
+  const { run, starts } = createDispatch({
+    executors: 100,
+    jobs: [...backlog, { service: "berthbook", isLasting: true }],
+  });
+  run();
+  t.deepEqual([starts.length, starts[0]!.task], [64, "j200.0.0.0"]);
+});
