Size pools by memory as well as by CPU

Its tasks need 0.19 of a host's CPU and 0.17 of its memory on average, spread widely, and long-running tasks beside them 0.15 and 0.21, so memory filled the hosts first; pools were sized by CPU.

Change: the load of a pool (in use, waiting, expected from arrivals, long-running) is kept for CPU and for memory, and the pool gets the hosts of the resource of which it needs the most. pool-need logs both.

--- a/src/owner/arrival_meter.ts
+++ b/src/owner/arrival_meter.ts
@@ -1,8 +1,8 @@
-/**
- * Measures the CPU time of the jobs that arrive for each service, and forecasts the CPU they use.
- */
+/** Measures the demand of the jobs that arrive for each service, and forecasts what they use. */
+
+import { addResources, NO_RESOURCES, type Resources } from "../fleet/resources.ts";
 
-/** The minimum time over which the CPU time of a job is spread, in milliseconds. */
+/** The minimum time over which the demand of a job is spread, in milliseconds. */
 const MINIMUM_SPREAD_MILLISECONDS = 1_000;
 /** The window over which the trend is measured, in milliseconds. */
 const TREND_WINDOW_MILLISECONDS = 1_000;
@@ -19,16 +19,16 @@
   at: number;
   /** When the job is assumed to end, on the monotonic clock. */
   endsAt: number;
-  /** The CPU that the job uses in between, in millicores. */
-  cpu: number;
+  /** What the job uses in between on average. */
+  demand: Resources;
 }
 
 /** Options of `add`. */
 export interface ArrivalOptions {
   /** The service. */
   service: string;
-  /** The CPU time of the job, in millicores times milliseconds. */
-  cpuMilliseconds: number;
+  /** What the tasks of the job use, times their durations in milliseconds. */
+  resourceMilliseconds: Readonly<Resources>;
   /** The critical path of the job, in milliseconds. */
   criticalPathMilliseconds: number;
   /** When the job arrived, on the monotonic clock. */
@@ -46,34 +46,46 @@
     return new ArrivalMeter();
   }
 
-  /** Adds the CPU time of a job, spread over its critical path. */
+  /** Adds the demand of a job, spread over its critical path. */
   add(options: ArrivalOptions): void {
-    const { service, cpuMilliseconds, criticalPathMilliseconds: criticalPath, now } = options;
+    const { service, resourceMilliseconds, criticalPathMilliseconds: criticalPath, now } = options;
     const spread = Math.max(MINIMUM_SPREAD_MILLISECONDS, criticalPath);
     const arrivals = this.#arrivals.get(service) ?? [];
-    arrivals.push({ at: now, endsAt: now + spread, cpu: cpuMilliseconds / spread });
+    const demand = { ...NO_RESOURCES };
+    addResources(demand, resourceMilliseconds, 1 / spread);
+    arrivals.push({ at: now, endsAt: now + spread, demand });
     this.#arrivals.set(service, arrivals);
   }
 
-  /** Forecasts the CPU that arriving jobs will use, in millicores. */
-  getForecastCpu(service: string, now: number): number {
+  /** Forecasts what arriving jobs will use. */
+  getForecast(service: string, now: number): Resources {
     const earlier = now - TREND_WINDOW_MILLISECONDS;
     const arrivals = (this.#arrivals.get(service) ?? []).filter(({ endsAt }) => endsAt > earlier);
     this.#arrivals.set(service, arrivals);
-    const current = sumCpuAt(arrivals, now);
-    const slope = (current - sumCpuAt(arrivals, earlier)) / TREND_WINDOW_MILLISECONDS;
-    const growth = Math.min(
-      Math.max(0, slope) * FORECAST_HORIZON_MILLISECONDS,
-      current * MAXIMUM_GROWTH_FRACTION,
-    );
-    return current + growth;
+    const current = sumDemandAt(arrivals, now);
+    const before = sumDemandAt(arrivals, earlier);
+    return {
+      cpu: extrapolate(current.cpu, before.cpu),
+      memory: extrapolate(current.memory, before.memory),
+      accelerators: extrapolate(current.accelerators, before.accelerators),
+    };
   }
 }
 
-function sumCpuAt(arrivals: readonly Arrival[], time: number): number {
-  let cpu = 0;
+/** Continues a trend to the forecast horizon, from an amount and the amount one window before. */
+function extrapolate(current: number, before: number): number {
+  const slope = (current - before) / TREND_WINDOW_MILLISECONDS;
+  const growth = Math.min(
+    Math.max(0, slope) * FORECAST_HORIZON_MILLISECONDS,
+    current * MAXIMUM_GROWTH_FRACTION,
+  );
+  return current + growth;
+}
+
+function sumDemandAt(arrivals: readonly Arrival[], time: number): Resources {
+  const total = { ...NO_RESOURCES };
   for (const arrival of arrivals) {
-    if (arrival.at <= time && time < arrival.endsAt) cpu += arrival.cpu;
+    if (arrival.at <= time && time < arrival.endsAt) addResources(total, arrival.demand);
   }
-  return cpu;
+  return total;
 }
--- a/src/owner/job_control.ts
+++ b/src/owner/job_control.ts
@@ -2,6 +2,7 @@
 
 import { Job, JobState, TaskState } from "../fleet/job.ts";
 import type { JobSpecification } from "../fleet/job_specification.ts";
+import { addResources, NO_RESOURCES } from "../fleet/resources.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { getCriticalPathMilliseconds } from "./critical_path.ts";
 import { createAcceptedEntry, createDeletionEntries, createProgressEntry } from "./job_records.ts";
@@ -191,8 +192,8 @@
   }
 
   /**
-   * Counts a new job against its customer's fair share of recent arrivals, and adds its CPU time to
-   * the arrival forecast.
+   * Counts a new job against its customer's fair share of recent arrivals, and adds its demand to the
+   * arrival forecast.
    */
   #recordArrival(job: Job): void {
     const state = this.#state;
@@ -206,16 +207,16 @@
     }
     const service = state.getService(job);
     if (service === undefined || job.specification.repeats > 0) return;
-    let cpuMilliseconds = 0;
+    const resourceMilliseconds = { ...NO_RESOURCES };
     for (const specification of job.specification.steps) {
       if (specification.isLasting) continue;
       const milliseconds = state.durationEstimator.estimateMilliseconds({ job, specification });
-      cpuMilliseconds += specification.count * specification.demand.cpu * milliseconds;
+      addResources(resourceMilliseconds, specification.demand, specification.count * milliseconds);
     }
     const criticalPath = getCriticalPathMilliseconds(state.durationEstimator, job, 0);
     state.arrivals.add({
       service,
-      cpuMilliseconds,
+      resourceMilliseconds,
       criticalPathMilliseconds: criticalPath,
       now: state.now,
     });
--- a/src/owner/load_simulation_test.ts
+++ b/src/owner/load_simulation_test.ts
@@ -54,3 +54,35 @@
     "two take-overs": simulateLoad({ ...DEPLOYMENT, seed: 1, takeOversAt: [7_000, 21_000] }),
   });
 });
+
+/** The demand of a task of which five fit on a host, by the resource that limits them. */
+const TASK_DEMANDS = {
+  cpu: { taskCpu: 6_400, taskMemory: 5_200 },
+  memory: { taskCpu: 1_280, taskMemory: 26_000 },
+};
+
+/** Gets the mean fraction of the jobs that meet their objective. */
+function getMeanInTime(demand: { taskCpu: number; taskMemory: number }): number {
+  const queues = ["tugdesk", "berthbook"].map((name) => ({
+    name,
+    hosts: 8,
+    jobsPerSecond: 1.8,
+    steps: 2,
+    tasks: 8,
+    taskMilliseconds: 800,
+    ...demand,
+  }));
+  const results = [1, 2, 3].flatMap((seed) =>
+    Object.values(
+      simulateLoad({ ...DEPLOYMENT, queues, spareHosts: 16, arrivalMilliseconds: 18_000, seed })
+        .inTime,
+    )
+  );
+  return results.reduce((sum, fraction) => sum + fraction, 0) / results.length;
+}
+
+test("a peak of tasks that are limited by memory is served like one that is limited by CPU", (t) => {
+  const byCpu = getMeanInTime(TASK_DEMANDS.cpu);
+  const byMemory = getMeanInTime(TASK_DEMANDS.memory);
+  t.true(byMemory >= byCpu - 0.05, `${byMemory} and ${byCpu} in time`);
+});
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -151,18 +151,22 @@
 test("the arrival forecast follows the trend and spreads CPU time over the critical path", (t) => {
   const meter = ArrivalMeter.create();
   const forecasts: number[] = [];
+  const memoryForecasts: number[] = [];
   for (let now = 0; now <= 6_000; now += 500) {
     if (now >= 2_000 && now < 4_000) {
       meter.add({
         service: "tugdesk",
-        cpuMilliseconds: 2_000_000,
+        resourceMilliseconds: { cpu: 2_000_000, memory: 1_000_000, accelerators: 0 },
         criticalPathMilliseconds: 1_000,
         now,
       });
     }
-    forecasts.push(Math.round(meter.getForecastCpu("tugdesk", now)));
+    const forecast = meter.getForecast("tugdesk", now);
+    forecasts.push(Math.round(forecast.cpu));
+    memoryForecasts.push(Math.round(forecast.memory));
   }
   t.snapshot(forecasts);
+  t.deepEqual(memoryForecasts, forecasts.map((cpu) => Math.round(cpu / 2)));
 });
 
 test("a pool needs hosts for its load, its arrivals and its long-running tasks", (t) => {
@@ -173,32 +177,32 @@
     spareHosts: 1,
     minimumHosts: 2,
   };
+  const idleResource = {
+    used: 0,
+    waiting: 0,
+    waitingMilliseconds: 0,
+    forecast: 0,
+    longRunning: 0,
+    hostCapacity: 32_000,
+  };
   const idle: PoolLoad = {
-    usedCpu: 0,
-    waitingCpu: 0,
-    waitingCpuMilliseconds: 0,
-    forecastCpu: 0,
+    cpu: idleResource,
+    memory: idleResource,
     minimumLongRunningExecutors: 0,
-    longRunningCpu: 0,
-    hostCpu: 32_000,
   };
-  const loads: Record<string, PoolLoad> = {
-    idle,
-    lasting: { ...idle, minimumLongRunningExecutors: 5, usedCpu: 13_000, longRunningCpu: 13_000 },
-    shortBacklog: {
-      ...idle,
-      usedCpu: 60_000,
-      waitingCpu: 90_000,
-      waitingCpuMilliseconds: 20_000_000,
-    },
-    longBacklog: {
-      ...idle,
-      usedCpu: 60_000,
-      waitingCpu: 90_000,
-      waitingCpuMilliseconds: 900_000_000,
-    },
-    peak: { ...idle, usedCpu: 60_000, forecastCpu: 400_000, longRunningCpu: 13_000 },
+  const cpuLoads = {
+    lasting: { used: 13_000, longRunning: 13_000 },
+    shortBacklog: { used: 60_000, waiting: 90_000, waitingMilliseconds: 20_000_000 },
+    longBacklog: { used: 60_000, waiting: 90_000, waitingMilliseconds: 900_000_000 },
+    peak: { used: 60_000, forecast: 400_000, longRunning: 13_000 },
   };
+  const loads: Record<string, PoolLoad> = { idle };
+  for (const [name, load] of Object.entries(cpuLoads)) {
+    const minimumLongRunningExecutors = name === "lasting" ? 5 : 0;
+    loads[name] = { ...idle, minimumLongRunningExecutors, cpu: { ...idleResource, ...load } };
+    const byMemory = { ...loads[name], cpu: idleResource, memory: loads[name].cpu };
+    t.is(getHostsNeeded(byMemory, policy), getHostsNeeded(loads[name], policy));
+  }
   t.snapshot(Object.fromEntries(
     Object.entries(loads).map(([name, load]) => [name, getHostsNeeded(load, policy)]),
   ));
--- a/src/owner/pool_need.ts
+++ b/src/owner/pool_need.ts
@@ -1,33 +1,39 @@
 /** Computes the number of hosts that a pool needs from its running, waiting and expected load. */
 
+/** The load of a pool on one resource: CPU in millicores, or memory in MB. */
+export interface ResourceLoad {
+  /** The amount in use. */
+  used: number;
+  /** The demand of the waiting tasks. */
+  waiting: number;
+  /** The demand of the waiting tasks times their estimated durations in milliseconds. */
+  waitingMilliseconds: number;
+  /** The demand that is expected from arrivals. */
+  forecast: number;
+  /** The amount in use by long-running tasks. */
+  longRunning: number;
+  /** The capacity of one host. */
+  hostCapacity: number;
+}
+
 /** The load of a pool. */
 export interface PoolLoad {
-  /** The CPU in use, in millicores. */
-  usedCpu: number;
-  /** The CPU demand of the waiting tasks, in millicores. */
-  waitingCpu: number;
-  /** The estimated CPU time of the waiting tasks, in millicores times milliseconds. */
-  waitingCpuMilliseconds: number;
-  /** The CPU demand that is expected from arrivals, in millicores. */
-  forecastCpu: number;
+  cpu: ResourceLoad;
+  memory: ResourceLoad;
   /**
    * The minimum number of executors that the step of long-running tasks which needs the most of
    * them needs because of its limit per executor.
    */
   minimumLongRunningExecutors: number;
-  /** The CPU in use by long-running tasks, in millicores. */
-  longRunningCpu: number;
-  /** The CPU capacity of one host, in millicores. */
-  hostCpu: number;
 }
 
 /** The policy by which a pool is sized for its load. */
 export interface CapacityPolicy {
   /** The time in which to clear a backlog, in milliseconds: the duration of a move plus a task. */
   backlogMilliseconds: number;
-  /** The fraction of a host's CPU that can be filled, since tasks are indivisible. */
+  /** The fraction of a host's capacity that can be filled, since tasks are indivisible. */
   usableFraction: number;
-  /** The fraction of a host's CPU planned for arrivals, low enough that they rarely wait. */
+  /** The fraction of a host's capacity planned for arrivals, low enough that they rarely wait. */
   plannedUtilization: number;
   /** The number of hosts in addition to those that long-running tasks need. */
   spareHosts: number;
@@ -44,28 +50,29 @@
   minimumHosts: 2,
 };
 
-/** Gets the number of hosts that a load needs. */
+/** Gets the number of hosts that a load needs: those for the resource of which it needs the most. */
 export function getHostsNeeded(load: PoolLoad, policy: CapacityPolicy): number {
-  const usableCpu = load.hostCpu * policy.usableFraction;
-  const backlogCpu = Math.min(
-    load.waitingCpu,
-    load.waitingCpuMilliseconds / policy.backlogMilliseconds,
-  );
-  const forLoad = Math.ceil((load.usedCpu + backlogCpu) / usableCpu);
-  const arrivalHosts = load.forecastCpu / (load.hostCpu * policy.plannedUtilization);
-  const forArrivals = Math.ceil(arrivalHosts + load.longRunningCpu / load.hostCpu);
   return Math.max(
-    forLoad,
-    forArrivals,
+    getHostsForResource(load.cpu, policy),
+    getHostsForResource(load.memory, policy),
     load.minimumLongRunningExecutors + policy.spareHosts,
     policy.minimumHosts,
   );
 }
 
+function getHostsForResource(load: ResourceLoad, policy: CapacityPolicy): number {
+  const usable = load.hostCapacity * policy.usableFraction;
+  const backlog = Math.min(load.waiting, load.waitingMilliseconds / policy.backlogMilliseconds);
+  const forLoad = Math.ceil((load.used + backlog) / usable);
+  const arrivalHosts = load.forecast / (load.hostCapacity * policy.plannedUtilization);
+  const forArrivals = Math.ceil(arrivalHosts + load.longRunning / load.hostCapacity);
+  return Math.max(forLoad, forArrivals);
+}
+
 /**
  * Gets the number of hosts without which a pool can't run its long-running tasks or, if others wait,
  * any task. Pools get these first, whatever the backlog of the others.
  */
 export function getEssentialHosts(load: PoolLoad): number {
-  return Math.max(load.minimumLongRunningExecutors, load.waitingCpu > 0 ? 1 : 0);
+  return Math.max(load.minimumLongRunningExecutors, load.cpu.waiting > 0 ? 1 : 0);
 }
--- a/src/owner/pool_size_control.ts
+++ b/src/owner/pool_size_control.ts
@@ -1,8 +1,9 @@
 /** Moves hosts between pools as the demand changes. */
 
 import { type Executor, getReservedDemand } from "../fleet/executor.ts";
-import { TaskState } from "../fleet/job.ts";
+import { type JobStep, TaskState } from "../fleet/job.ts";
 import { type Host, HostOrderOutcome } from "../fleet/host.ts";
+import type { Resources } from "../fleet/resources.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { HostControl } from "./host_control.ts";
 import { ORDER_RECORD_TIMEOUT_MILLISECONDS } from "./host_order_records.ts";
@@ -13,6 +14,7 @@
   getEssentialHosts,
   getHostsNeeded,
   type PoolLoad,
+  type ResourceLoad,
 } from "./pool_need.ts";
 
 /** How long the peak need of a pool is kept, in milliseconds: several times the cost of a move. */
@@ -314,56 +316,63 @@
     this.#options.state.log("pool-need", {
       service,
       hosts: need,
-      usedCpu: load.usedCpu,
-      waitingCpu: load.waitingCpu,
-      forecastCpu: Math.round(load.forecastCpu),
+      usedCpu: load.cpu.used,
+      waitingCpu: load.cpu.waiting,
+      forecastCpu: Math.round(load.cpu.forecast),
+      usedMemory: load.memory.used,
+      waitingMemory: load.memory.waiting,
+      forecastMemory: Math.round(load.memory.forecast),
       longRunningExecutors: load.minimumLongRunningExecutors,
     });
   }
 
   #getLoad(service: string): PoolLoad {
     const { state } = this.#options;
-    const load = {
-      usedCpu: 0,
-      waitingCpu: 0,
-      waitingCpuMilliseconds: 0,
-      forecastCpu: state.arrivals.getForecastCpu(service, state.now),
+    const forecast = state.arrivals.getForecast(service, state.now);
+    const load: PoolLoad = {
+      cpu: createResourceLoad(forecast.cpu),
+      memory: createResourceLoad(forecast.memory),
       minimumLongRunningExecutors: 0,
-      longRunningCpu: 0,
-      hostCpu: 0,
     };
     for (const executor of state.getExecutorsOf(service)) {
-      load.usedCpu += executor.getReserved().cpu;
+      const reserved = executor.getReserved();
+      load.cpu.used += reserved.cpu;
+      load.memory.used += reserved.memory;
       // An entry whose executor has never answered may come from another program.
-      if (executor.hasAcceptedFence) {
-        load.hostCpu = Math.max(load.hostCpu, executor.entry.capacity.cpu);
-      }
+      if (executor.hasAcceptedFence) raiseHostCapacity(load, executor.entry.capacity);
       for (const { task } of executor.runs.values()) {
         const { specification } = task.step;
         raiseLongRunningMinimum(load, specification);
-        if (specification.isLasting) load.longRunningCpu += getReservedDemand(task).cpu;
+        if (!specification.isLasting) continue;
+        const demand = getReservedDemand(task);
+        load.cpu.longRunning += demand.cpu;
+        load.memory.longRunning += demand.memory;
+      }
+    }
+    if (load.cpu.hostCapacity === 0) {
+      for (const host of this.#options.hosts.getHosts().values()) {
+        raiseHostCapacity(load, host.capacity);
       }
     }
-    if (load.hostCpu === 0) load.hostCpu = this.#getHostCpu();
     for (const step of state.ready) {
-      if (state.getService(step.job) !== service) continue;
-      const { demand, isFiller } = step.specification;
-      raiseLongRunningMinimum(load, step.specification);
-      if (isFiller) continue;
-      const waiting = step.tasks.filter(({ state }) => state === TaskState.Waiting).length;
-      load.waitingCpu += waiting * demand.cpu;
-      load.waitingCpuMilliseconds += waiting * demand.cpu *
-        state.durationEstimator.estimateMilliseconds(step);
+      if (state.getService(step.job) === service) this.#addWaiting(load, step);
+    }
+    for (const resource of [load.cpu, load.memory]) {
+      resource.hostCapacity = Math.max(1, resource.hostCapacity);
     }
     return load;
   }
 
-  #getHostCpu(): number {
-    let cpu = 1;
-    for (const host of this.#options.hosts.getHosts().values()) {
-      cpu = Math.max(cpu, host.capacity.cpu);
-    }
-    return cpu;
+  #addWaiting(load: PoolLoad, step: JobStep): void {
+    const { demand, isFiller } = step.specification;
+    raiseLongRunningMinimum(load, step.specification);
+    if (isFiller) return;
+    const waiting = step.tasks.filter(({ state }) => state === TaskState.Waiting).length;
+    const milliseconds = this.#options.state.durationEstimator.estimateMilliseconds(step);
+    load.cpu.waiting += waiting * demand.cpu;
+    load.cpu.waitingMilliseconds += waiting * demand.cpu * milliseconds;
+    load.memory.waiting += waiting * demand.memory;
+    load.memory.waitingMilliseconds += waiting * demand.memory * milliseconds;
   }
 
   #getSpareHosts(): Host[] {
@@ -435,6 +444,23 @@
   return plan.hosts.length - plan.essentialHosts;
 }
 
+function createResourceLoad(forecast: number): ResourceLoad {
+  return {
+    used: 0,
+    waiting: 0,
+    waitingMilliseconds: 0,
+    forecast,
+    longRunning: 0,
+    hostCapacity: 0,
+  };
+}
+
+/** Raises the capacity of a load's hosts to a capacity where that is larger. */
+function raiseHostCapacity(load: PoolLoad, capacity: Readonly<Resources>): void {
+  load.cpu.hostCapacity = Math.max(load.cpu.hostCapacity, capacity.cpu);
+  load.memory.hostCapacity = Math.max(load.memory.hostCapacity, capacity.memory);
+}
+
 /** Raises the minimum number of executors of a load to what a step of long-running tasks needs. */
 function raiseLongRunningMinimum(
   load: { minimumLongRunningExecutors: number },
--- a/src/platform/stand_in/load_simulation.ts
+++ b/src/platform/stand_in/load_simulation.ts
@@ -39,6 +39,8 @@
   taskMilliseconds: number;
   /** The CPU demand of a task, in thousandths of a core. */
   taskCpu: number;
+  /** The memory demand of a task, in MB; 1,000 by default. */
+  taskMemory?: number;
 }
 
 /** Options of `simulateLoad`. */
@@ -171,7 +173,7 @@
   const steps = Array.from({ length: queue.steps }, (_, number) => ({
     ...LONG_RUNNING_JOB.steps[0]!,
     count: queue.tasks,
-    demand: { cpu: queue.taskCpu, memory: 1_000, accelerators: 0 },
+    demand: { cpu: queue.taskCpu, memory: queue.taskMemory ?? 1_000, accelerators: 0 },
     estimatedMilliseconds: Math.round(queue.taskMilliseconds * (0.5 + random())),
     after: number === 0 ? [] : [number - 1],
     isLasting: false,
