Don't send a request whose timeout passed while the process was paused

A request that waits for its connection is started by the event of the opened connection. After a pause of the process that event comes before the timers, so an order was sent however long ago it had been decided: for executors its deadline makes it void, but the provider of hosts checks no fence here, and a new owner waits only for the time that an order may take to be sent.

Change: the elapsed time, suspensions included, is checked right before a request is written.

Result: a test that blocks the process while a connection opens; the request was received before, and is not now.

--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -4,6 +4,7 @@
 // Loading the whole package takes several times as long, which would delay each start of a host.
 import Pool from "undici/lib/dispatcher/pool.js";
 import { getErrorMessage, StepError } from "../errors/mod.ts";
+import { ElapsedClock } from "../tasks/mod.ts";
 import { TransferDeadline } from "./transfer_deadline.ts";
 
 /** The default maximum size of a response, in bytes: many times that of a snapshot's page. */
@@ -57,6 +58,8 @@
   readonly #request: LinkRequest;
   readonly #maximumResponseBytes: number;
   readonly #sentAt = performance.now();
+  /** Counts from the call, including the time in which the machine was suspended. */
+  readonly #elapsedClock = ElapsedClock.create();
   readonly #deadline: TransferDeadline;
   readonly #chunks: Buffer[] = [];
   #timer: NodeJS.Timeout | undefined;
@@ -96,9 +99,13 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    // A request that timed out while it waited for a connection must not be sent.
-    if (this.isTimedOut) controller.abort(new Error("request timed out before it was sent"));
     this.#controller = controller;
+    // A request that timed out while it waited for a connection must not be sent: after a pause of
+    // the process, connections open before timers notice it.
+    const isLate = this.#elapsedClock.getElapsed() > this.#request.idleTimeoutMilliseconds;
+    if (!isLate && !this.isTimedOut) return;
+    this.isTimedOut = true;
+    this.#abort("timed out before it was sent");
   }
 
   onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
--- a/src/platform/http_link_test.ts
+++ b/src/platform/http_link_test.ts
@@ -44,3 +44,24 @@
   t.teardown(() => (link.close(), server.close()));
   t.is(await getOutcome(link, "/endless"), "failed");
 });
+
+/** Blocks this process, as a paused machine would. */
+function pauseProcess(milliseconds: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+test("a request that waited for its connection during a pause of the process is not sent", async (t) => {
+  const received: string[] = [];
+  const server = StandInServer.create((request, _body, response) => {
+    received.push(request.url ?? "");
+    response.end();
+  });
+  const link = HttpLink.create({ address: await server.listen(), connections: 1 });
+  t.teardown(() => (link.close(), server.close()));
+  const paused = getOutcome(link, "/paused");
+  // The connection is being opened, and opens while the process is paused.
+  pauseProcess(2 * IDLE_TIMEOUT_MILLISECONDS);
+  t.is(await paused, "failed");
+  t.is(await getOutcome(link, "/later"), "complete");
+  t.deepEqual(received, ["/later"]);
+});
