Wait for late reports after a hand-over as well

After a released claim the new owner waited 3.06 s, the lease, for a listed executor out of its reach, then started again what might have been done there.

Change: tasks that can be done wait up to 6 s while such an executor is listed. Long-running tasks and usage are reckoned by the lease as before.

Result: a test gave 3,075 ms for a listed executor; now 6,000 ms, and 3,075 ms still for one that left the list and for long-running tasks.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -19,7 +19,12 @@
 import { addResources, limitResources, NO_RESOURCES, type Resources } from "../fleet/resources.ts";
 import { createUrgencyRanking } from "./step_ranking.ts";
 import { createProgressEntry } from "./job_records.ts";
-import { getExecutorId, getIncarnationKey, PollControl } from "./poll_control.ts";
+import {
+  getExecutorId,
+  getIncarnationKey,
+  LATE_REPORT_MILLISECONDS,
+  PollControl,
+} from "./poll_control.ts";
 import { MaintenanceControl } from "./maintenance_control.ts";
 import { rankLeastLoaded } from "./placement.ts";
 import type { CapacityPolicy } from "./pool_need.ts";
@@ -440,32 +445,40 @@
   }
 
   /**
-   * Requeues the tasks in state `Unknown` that no run of an earlier owner can still be executing.
+   * Requeues the tasks in state `Unknown` that no run of an earlier owner can still be executing, nor
+   * can have completed unless the report of its end comes very late.
    */
   #resolveUnknown(): void {
     const state = this.#state;
     if (!state.hasUnknownTasks) return;
-    const isInDoubtTimeOver = state.now >= this.#inDoubtUntil;
+    const mayBeRunning = state.now < this.#inDoubtUntil;
+    const mayReportLate = state.now < state.startedAt + LATE_REPORT_MILLISECONDS;
     const servicesInDoubt = new Set<string>();
+    const servicesReportingLate = new Set<string>();
     const capacity = { ...NO_RESOURCES };
     for (const id of this.#executorsInDoubt) {
       const executor = state.executors.get(id);
-      if (executor === undefined || executor.hasAcceptedFence || isInDoubtTimeOver) {
+      const isExpected = mayBeRunning || (mayReportLate && executor?.isListed === true);
+      if (executor === undefined || executor.hasAcceptedFence || !isExpected) {
         this.#executorsInDoubt.delete(id);
-      } else {
-        servicesInDoubt.add(executor.entry.service);
-        addResources(capacity, executor.entry.capacity);
+        continue;
       }
+      servicesReportingLate.add(executor.entry.service);
+      if (!mayBeRunning) continue;
+      servicesInDoubt.add(executor.entry.service);
+      addResources(capacity, executor.entry.capacity);
     }
     const usage = new Map<string, Resources>();
     for (const job of state.jobs.values()) {
       if (job.outcome !== undefined) continue;
       const service = state.getService(job);
       const isInDoubt = service !== undefined && servicesInDoubt.has(service);
+      const isReportingLate = service !== undefined && servicesReportingLate.has(service);
       for (const task of job.getTasks()) {
         if (task.state !== TaskState.Unknown) continue;
-        if (isInDoubt) addUsage(usage, job.customer, task.step.specification.demand);
-        else state.resolveUnknownTask(task);
+        const { demand, isLasting } = task.step.specification;
+        if (isInDoubt) addUsage(usage, job.customer, demand);
+        else if (isLasting || !isReportingLate) state.resolveUnknownTask(task);
       }
     }
     // Unreported runs cannot use more than the capacity of the executors that have not answered.
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -30,7 +30,7 @@
  * How long a silent executor that is still listed may take to report the ends of its runs, in
  * milliseconds: more than the list takes to drop an executor that has stopped.
  */
-const LATE_REPORT_MILLISECONDS = 6_000;
+export const LATE_REPORT_MILLISECONDS = 6_000;
 /** How long after its deadline an unanswered start is still considered possible, in milliseconds. */
 const START_DEADLINE_MARGIN_MILLISECONDS = 50;
 
--- a/src/owner/take_over_test.ts
+++ b/src/owner/take_over_test.ts
@@ -13,6 +13,9 @@
 /** The maximum time that runs of an earlier owner may go on, in milliseconds. */
 const IN_DOUBT_MILLISECONDS = 6_695;
 
+/** The lease that a holder may have granted before it released its claim, in milliseconds. */
+const HANDED_OVER_LEASE_MILLISECONDS = 3_063;
+
 const QUEUE: Queue = createQueue();
 
 function createConfiguration(queues: Queue[]): Configuration {
@@ -80,6 +83,40 @@
   t.snapshot(Object.fromEntries(startedAfter));
 });
 
+test("after a hand-over, a task that may be done on a silent executor waits for its late report", (t) => {
+  const getDelay = (isListed: boolean, isLasting: boolean): number => {
+    const [silent, alive] = [createEntry(2), createEntry(1)];
+    const steps = [createStepSpecification({ isLasting })];
+    const job = Job.create({
+      id: "j",
+      queue: "tugs",
+      customer: "",
+      specification: { ...SPECIFICATION, steps },
+      acceptedAt: 0,
+    });
+    const { starts, advance, reportNoRuns } = createOwnerHarness({
+      configuration: createConfiguration([QUEUE]),
+      executors: isListed ? [silent, alive] : [alive],
+      stored: [silent, alive].map(createExecutorEntry).map(({ key, value }) => [key, value!]),
+      jobs: [job],
+      inDoubtMilliseconds: HANDED_OVER_LEASE_MILLISECONDS,
+    });
+    reportNoRuns(alive);
+    let turns = 1;
+    for (; starts.length === 0 && turns < 400; turns += 1) advance();
+    return turns * 25;
+  };
+  const delays = {
+    "listed": getDelay(true, false),
+    "not listed": getDelay(false, false),
+    "long-running": getDelay(true, true),
+  };
+  t.snapshot(delays);
+  t.true(delays.listed >= 6_000);
+  t.true(delays["not listed"] < 3_500);
+  t.true(delays["long-running"] < 3_500);
+});
+
 test("a new owner starts accepted jobs of a queue that was removed", (t) => {
   const executor = createEntry(1);
   const before = createOwnerHarness({
