Revert "Refuse at once the jobs that the owner can't start soon"

Cause: callers were not served better.

What could still pay: a refusal that costs the owner nothing. A front can't say that a job doesn't run, since another front may have stored it.

--- a/src/owner/call_control.ts
+++ b/src/owner/call_control.ts
@@ -110,14 +110,8 @@
       return reply(this.#refuse(call, { outcome: AnswerOutcome.Malformed, reason }));
     }
     const { isStoreUnavailable, owner } = this.#options;
-    if (!this.#isKnown(jobId)) {
-      if (isStoreUnavailable()) {
-        return reply(createUnavailable("the store does not answer", STORE_RETRY_AFTER_SECONDS));
-      }
-      const retryAfter = owner.getRetryAfterSeconds(jobId, specification);
-      if (retryAfter !== undefined) {
-        return reply(createUnavailable("the owner can't start more tasks soon", retryAfter));
-      }
+    if (!this.#isKnown(jobId) && isStoreUnavailable()) {
+      return reply(createUnavailable("the store does not answer", STORE_RETRY_AFTER_SECONDS));
     }
     owner.submit({ id: jobId, queue, customer, specification }, () => {
       reply({ outcome: AnswerOutcome.Accepted });
--- a/src/owner/dispatch_control.ts
+++ b/src/owner/dispatch_control.ts
@@ -68,14 +68,11 @@
     const candidates = this.#getCandidates();
     candidates.sort((first, second) => compareRanks(first.rank, second.rank));
     for (const { step, service } of candidates) {
-      if (!state.startWindow.hasRoom(state.now)) {
-        return state.startBacklog.recordDispatch(true, state.now);
-      }
+      if (!state.startWindow.hasRoom(state.now)) return;
       if (!mayFit(step, service.free)) continue;
       this.#startStep(step, service.pool, rules);
       if (state.ready.has(step)) service.free = getLargestFreeAmounts(service.pool);
     }
-    state.startBacklog.recordDispatch(false, state.now);
   }
 
   /** Gets the ready steps of all services that may fit on an executor, with their ranks. */
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -5,7 +5,6 @@
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { Job, JobState } from "../fleet/job.ts";
 import { TaskState } from "../fleet/job.ts";
-import type { JobSpecification } from "../fleet/job_specification.ts";
 import type { Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { OperatorActions } from "../fleet/maintenance_wave.ts";
 import { type Advice, AdviceControl } from "./advice_control.ts";
@@ -228,11 +227,6 @@
     this.#jobs.submit(submission, onAccepted);
   }
 
-  /** Gets after how many seconds a new job should be submitted again; undefined to accept it now. */
-  getRetryAfterSeconds(id: string, specification: JobSpecification): number | undefined {
-    return this.#jobs.getRetryAfterSeconds(id, specification);
-  }
-
   /** Gets the state of a job as reported to callers, or undefined if the job is not known. */
   getJobState(id: string): JobState | undefined {
     return this.#jobs.getState(id);
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -10,7 +10,6 @@
 import { DurationEstimator } from "./duration_estimator.ts";
 import type { JournalEntry, OwnerPorts } from "./owner_ports.ts";
 import { createQueueEntry } from "./queue_records.ts";
-import { StartBacklog } from "./start_backlog.ts";
 import { StartWindow } from "./start_window.ts";
 
 /** The limits and durations that the owner's decisions respect. */
@@ -99,8 +98,6 @@
   readonly durationEstimator = DurationEstimator.create();
   /** Limits the unanswered start orders. */
   readonly startWindow = StartWindow.create();
-  /** Measures whether starts wait for this owner. */
-  readonly startBacklog = StartBacklog.create();
   /** Forecasts the load from arriving jobs. */
   readonly arrivals = ArrivalMeter.create();
   /**
--- a/src/owner/job_control.ts
+++ b/src/owner/job_control.ts
@@ -98,29 +98,6 @@
     });
   }
 
-  /**
-   * Gets after how many seconds a new job should be submitted again, because this owner can't start
-   * its tasks soon, or undefined if it can be accepted. Long-running tasks are always accepted.
-   */
-  getRetryAfterSeconds(id: string, specification: JobSpecification): number | undefined {
-    const { startBacklog, now } = this.#state;
-    if (!startBacklog.isCongested()) return undefined;
-    if (specification.steps.some(({ isLasting }) => isLasting)) return undefined;
-    return startBacklog.getRetryAfterSeconds(this.#countWaitingTasks(), getSpread(id), now);
-  }
-
-  /** Counts the tasks of accepted jobs that have yet to start, in steps that are ready or not. */
-  #countWaitingTasks(): number {
-    let count = 0;
-    for (const job of this.#state.jobs.values()) {
-      if (job.outcome !== undefined) continue;
-      for (const { state, step } of job.getTasks()) {
-        if (state === TaskState.Waiting && !step.specification.isLasting) count += 1;
-      }
-    }
-    return count;
-  }
-
   /** Restores a job from the journal. */
   restore(job: Job): void {
     this.#state.jobs.set(job.id, job);
@@ -280,8 +257,3 @@
   }
   return counts;
 }
-
-/** Gets a number from 0 to 1 that differs between jobs: callers draw the hexadecimal ids at random. */
-function getSpread(id: string): number {
-  return (Number.parseInt(id.slice(-2), 16) || 0) / 256;
-}
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -257,13 +257,12 @@
 
   /** Updates the start window: a start that timed out counts with its timeout as latency. */
   #recordAnswer(taskName: string, runNumber: number): void {
-    const { startWindow, startBacklog, now } = this.#state;
+    const { startWindow, now } = this.#state;
     const key = getOrderKey(taskName, runNumber);
     const pending = this.#startOrders.get(key);
     if (pending === undefined) return;
     this.#startOrders.delete(key);
     startWindow.recordAnswer(pending.order, now - pending.sentAt, now);
-    startBacklog.recordAnswer(now);
     this.#state.needsDispatch = true;
   }
 
