Limit the time until a request is sent only for the provider's orders

Cause: the check before a request is written used the idle timeout, 0.2 s at the least.

Change: the limit is a field of the request. Orders to the provider set it to their timeout, for which a new owner waits; polls and starts need none, since their deadlines count on the executor's clock, and appends are fenced.

--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -28,6 +28,11 @@
   waitMilliseconds?: number;
   /** How long nothing may arrive before the exchange times out, in milliseconds. */
   idleTimeoutMilliseconds: number;
+  /**
+   * How long after the call the request may still be sent, in milliseconds; unlimited if unset. For
+   * requests whose effect neither a fence nor a deadline prevents.
+   */
+  sendLimitMilliseconds?: number;
 }
 
 /** An HTTP response. */
@@ -100,9 +105,9 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    // A request that timed out while it waited for a connection must not be sent: after a pause of
-    // the process, connections open before timers notice it.
-    const isLate = this.#elapsedClock.getElapsed() > this.#request.idleTimeoutMilliseconds;
+    // After a pause of the process, connections open before timers notice that time has passed.
+    const { sendLimitMilliseconds = Infinity } = this.#request;
+    const isLate = this.#elapsedClock.getElapsed() > sendLimitMilliseconds;
     if (!isLate && !this.isTimedOut) return;
     this.isTimedOut = true;
     this.#abort("timed out before it was sent");
--- a/src/platform/provider_client.ts
+++ b/src/platform/provider_client.ts
@@ -154,6 +154,7 @@
         method,
         path,
         idleTimeoutMilliseconds: PROVIDER_TIMEOUT_MILLISECONDS,
+        sendLimitMilliseconds: PROVIDER_TIMEOUT_MILLISECONDS,
         ...options,
       });
     } catch (error) {
