Let hosts with CPU and a fast link own the fleet after a process ends too

A host whose link to it broke claimed at once, whatever its CPU and link: the first to notice was one of 0.3 cores behind 7 Mbit/s. Its take-over took 3.8 s, it then renewed late and lost the fleet at 31.3 s; nothing started from 25.5 to 31 s.

Change: a claim after the end of a process waits for the host's delay, as others do, and the delay counts a slow link like a lack of CPU.

--- a/src/ownership/ownership_task.ts
+++ b/src/ownership/ownership_task.ts
@@ -95,8 +95,8 @@
   #claim: Claim | undefined;
   #end: number | undefined;
   #lastRenewalSeenAt: number;
-  /** The identity of the last holder whose process is known to have ended. */
-  #endedHolder: string | undefined;
+  /** The last holder whose process is known to have ended, and since when this host knows it. */
+  #endedHolder: { holder: string; since: number } | undefined;
   #claimReadAt = -Infinity;
   #confirmedAt = -Infinity;
   #renewedAt = -Infinity;
@@ -131,7 +131,7 @@
         this.#isReleasing = true;
         return this.#tick();
       case "holder-ended":
-        this.#endedHolder = message.holder;
+        this.#setEndedHolder(message.holder);
         return this.#tick();
     }
   }
@@ -177,7 +177,7 @@
     }
     const isFromEarlierProcess = claim?.hostName === this.#options.hostName &&
       claim.holder !== this.#options.holder;
-    if (isFromEarlierProcess) this.#endedHolder = claim.holder;
+    if (isFromEarlierProcess) this.#setEndedHolder(claim.holder);
     if (isOtherClaim) this.#confirmedAt = -Infinity;
     this.#claim = claim;
     this.#updateBackoff();
@@ -185,6 +185,11 @@
     onOwnership({ claim, isMine: this.#isMine(), confirmedAt: this.#confirmedAt });
   }
 
+  #setEndedHolder(holder: string): void {
+    if (this.#endedHolder?.holder === holder) return;
+    this.#endedHolder = { holder, since: this.#options.getMonotonicTime() };
+  }
+
   #updateBackoff(): void {
     const now = this.#options.getMonotonicTime();
     if (this.#isMine()) this.#backoff.recordHeld(now);
@@ -212,12 +217,14 @@
     if (!this.#isEnabled || this.#isReleasing) return false;
     if (clock.getElapsed() - this.#claimReadAt > MAXIMUM_CLAIM_READ_AGE_MILLISECONDS) return false;
     const isHeld = this.#claim !== undefined && !this.#claim.isReleased;
-    const timeout = isHeld ? getPublishedTimeout(this.#claim!.timeoutMilliseconds) : 0;
     const epoch = (this.#claim?.epoch ?? 0) + 1;
-    // A holder whose process has ended can't renew: renewals that are read after this were appended
-    // before it ended.
-    if (isHeld && this.#claim!.holder === this.#endedHolder) return true;
     const delay = getDelay(epoch) + this.#backoff.getDelay();
+    // A holder whose process has ended can't renew: renewals that are read after this were appended
+    // before it ended. Hosts still claim in the order of their delays, whichever notices it first.
+    if (isHeld && this.#claim!.holder === this.#endedHolder?.holder) {
+      return getNow() - this.#endedHolder.since >= delay;
+    }
+    const timeout = isHeld ? getPublishedTimeout(this.#claim!.timeoutMilliseconds) : 0;
     return getNow() - this.#lastRenewalSeenAt >= timeout + delay;
   }
 
--- a/src/ownership/ownership_task_test.ts
+++ b/src/ownership/ownership_task_test.ts
@@ -174,3 +174,16 @@
   }, failing);
   t.snapshot(result);
 });
+
+test.serial("once a holder's process has ended, hosts claim in the order of their delays", async (t) => {
+  const result = await runScenario(async (harness) => {
+    await harness.advance(1_000);
+    harness.log.disconnected.add("front-a");
+    harness.hosts[2]!.task.post({ kind: "holder-ended", holder: "front-a-1" });
+    await harness.advance(50);
+    harness.hosts[1]!.task.post({ kind: "holder-ended", holder: "front-a-1" });
+    await harness.advance(300);
+    return getEpochs(harness);
+  });
+  t.deepEqual(result, [[1, "front-a"], [2, "front-b"]]);
+});
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -237,12 +237,13 @@
   }
 
   #createOwnership(holder: string): OwnershipTask {
+    const { cores, linkMegabits } = this.#settings;
     return OwnershipTask.create({
       holder,
       hostName: this.#settings.name,
       address: formatSocketAddress(this.#settings.peerAddress),
-      getDelay: (epoch) => getClaimDelay({ holder, epoch, cores: this.#settings.cores }),
-      cores: this.#settings.cores,
+      getDelay: (epoch) => getClaimDelay({ holder, epoch, cores, linkMegabits }),
+      cores,
       appendClaim: createClaimAppend(this.#claimStore),
       onOwnership: (view) => this.#handleOwnership(view),
       clock: this.#clock,
--- a/src/platform/platform_host_test.ts
+++ b/src/platform/platform_host_test.ts
@@ -87,6 +87,7 @@
     readyAddress: toAddress(readyPort),
     peerAddress: toAddress(peerPort),
     cores: 1,
+    linkMegabits: 1_000,
     storeAddress,
     bounds: {
       graceMilliseconds: 6_000,
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -20,6 +20,8 @@
   peerAddress: SocketAddress;
   /** The processor capacity of this host, in cores; may be a fraction of one. */
   cores: number;
+  /** The bandwidth of this host's link, in megabits per second. */
+  linkMegabits: number;
   /** The address of the platform's store. */
   storeAddress: string;
   /** The address of the host provider, if there is one. */
@@ -67,7 +69,11 @@
   zone: z.string(),
   listen: z.object({ front: addressSchema, ready: addressSchema }),
   portRange: z.tuple([z.number(), z.number()]),
-  limits: z.object({ cpuShare: z.number().default(1), cores: z.number().default(1) }),
+  limits: z.object({
+    cpuShare: z.number().default(1),
+    cores: z.number().default(1),
+    linkMbps: z.number().default(1_000),
+  }),
   // Names that end in `Ms` or `_ms` are in milliseconds, those that end in `S` or `_s` in seconds.
   bounds: z.object({
     graceS: z.number().default(6),
@@ -105,6 +111,7 @@
     readyAddress: parseSocketAddress(data.listen.ready)!,
     peerAddress: { host: data.ip, port: data.portRange[0] },
     cores: data.limits.cpuShare * data.limits.cores,
+    linkMegabits: data.limits.linkMbps,
     storeAddress: data.platform.addr,
     providerAddress: data.cloud?.addr,
     adviserAddress: data.advice ?? undefined,
