Take an invalid timeout of a claim, and a step without tasks, as malformed

Cause: found while reading the change: a claim whose published timeout is no number would never be taken over, as the comparison with it is never true; and a forwarded step of no tasks would be decoded, on which a dispatch fails.

Change: both are checked where they are read.

--- a/src/front/call_frame.ts
+++ b/src/front/call_frame.ts
@@ -40,7 +40,7 @@
 const specificationSchema = z.object({
   text: z.string(),
   steps: z.array(z.object({
-    count: countSchema,
+    count: z.int().min(1),
     demand: z.object({ cpu: amountSchema, memory: amountSchema, accelerators: amountSchema }),
     estimatedMilliseconds: amountSchema,
     after: z.array(countSchema),
--- a/src/front/call_frame_test.ts
+++ b/src/front/call_frame_test.ts
@@ -44,6 +44,7 @@
     "a step that is null": { ...SPECIFICATION, steps: [null] },
     "a step without demand": { ...SPECIFICATION, steps: [{ ...step, demand: undefined }] },
     "a step without dependencies": { ...SPECIFICATION, steps: [{ ...step, after: undefined }] },
+    "a step without tasks": { ...SPECIFICATION, steps: [{ ...step, count: 0 }] },
     "a negative count": { ...SPECIFICATION, steps: [{ ...step, count: -1 }] },
     "a count that is no number": { ...SPECIFICATION, steps: [{ ...step, count: Number.NaN }] },
     "no end of occurrences": { ...SPECIFICATION, repeats: Infinity },
--- a/src/ownership/renewal_timeout.ts
+++ b/src/ownership/renewal_timeout.ts
@@ -44,9 +44,11 @@
   }
 }
 
-/** Gets the timeout that a claim publishes, within the limits; the minimum if it has none. */
+/** Gets the timeout that a claim publishes, within the limits; the minimum if it has no valid one. */
 export function getPublishedTimeout(milliseconds: number | undefined): number {
-  return limit(milliseconds ?? MINIMUM_RENEWAL_TIMEOUT_MILLISECONDS);
+  return Number.isFinite(milliseconds)
+    ? limit(milliseconds!)
+    : MINIMUM_RENEWAL_TIMEOUT_MILLISECONDS;
 }
 
 function limit(milliseconds: number): number {
