Measure the load of a pool in a file of its own

Cause: pool_size_control.ts had grown to 472 lines with what a pool uses, waits for and expects beside the decisions on moves.

Change: moved to pool_load.ts as functions; nothing else.

--- a/src/owner/pool_size_control.ts
+++ b/src/owner/pool_size_control.ts
@@ -1,9 +1,7 @@
 /** Moves hosts between pools as the demand changes. */
 
-import { type Executor, getReservedDemand } from "../fleet/executor.ts";
-import { type JobStep, TaskState } from "../fleet/job.ts";
+import type { Executor } from "../fleet/executor.ts";
 import { type Host, HostOrderOutcome } from "../fleet/host.ts";
-import type { Resources } from "../fleet/resources.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { HostControl } from "./host_control.ts";
 import { ORDER_RECORD_TIMEOUT_MILLISECONDS } from "./host_order_records.ts";
@@ -14,8 +12,8 @@
   getEssentialHosts,
   getHostsNeeded,
   type PoolLoad,
-  type ResourceLoad,
 } from "./pool_need.ts";
+import { measurePoolLoad } from "./pool_load.ts";
 
 /** How long the peak need of a pool is kept, in milliseconds: several times the cost of a move. */
 const PEAK_RETENTION_MILLISECONDS = 1_800;
@@ -258,7 +256,7 @@
     for (const service of state.configuration.services.values()) {
       if (service.isSpare) continue;
       const { name } = service;
-      const load = this.#getLoad(name);
+      const load = measurePoolLoad(state, name, hosts.getHosts().values());
       plans.set(name, {
         service: name,
         hosts: [],
@@ -326,55 +324,6 @@
     });
   }
 
-  #getLoad(service: string): PoolLoad {
-    const { state } = this.#options;
-    const forecast = state.arrivals.getForecast(service, state.now);
-    const load: PoolLoad = {
-      cpu: createResourceLoad(forecast.cpu),
-      memory: createResourceLoad(forecast.memory),
-      minimumLongRunningExecutors: 0,
-    };
-    for (const executor of state.getExecutorsOf(service)) {
-      const reserved = executor.getReserved();
-      load.cpu.used += reserved.cpu;
-      load.memory.used += reserved.memory;
-      // An entry whose executor has never answered may come from another program.
-      if (executor.hasAcceptedFence) raiseHostCapacity(load, executor.entry.capacity);
-      for (const { task } of executor.runs.values()) {
-        const { specification } = task.step;
-        raiseLongRunningMinimum(load, specification);
-        if (!specification.isLasting) continue;
-        const demand = getReservedDemand(task);
-        load.cpu.longRunning += demand.cpu;
-        load.memory.longRunning += demand.memory;
-      }
-    }
-    if (load.cpu.hostCapacity === 0) {
-      for (const host of this.#options.hosts.getHosts().values()) {
-        raiseHostCapacity(load, host.capacity);
-      }
-    }
-    for (const step of state.ready) {
-      if (state.getService(step.job) === service) this.#addWaiting(load, step);
-    }
-    for (const resource of [load.cpu, load.memory]) {
-      resource.hostCapacity = Math.max(1, resource.hostCapacity);
-    }
-    return load;
-  }
-
-  #addWaiting(load: PoolLoad, step: JobStep): void {
-    const { demand, isFiller } = step.specification;
-    raiseLongRunningMinimum(load, step.specification);
-    if (isFiller) return;
-    const waiting = step.tasks.filter(({ state }) => state === TaskState.Waiting).length;
-    const milliseconds = this.#options.state.durationEstimator.estimateMilliseconds(step);
-    load.cpu.waiting += waiting * demand.cpu;
-    load.cpu.waitingMilliseconds += waiting * demand.cpu * milliseconds;
-    load.memory.waiting += waiting * demand.memory;
-    load.memory.waitingMilliseconds += waiting * demand.memory * milliseconds;
-  }
-
   #getSpareHosts(): Host[] {
     const { state, hosts, maintenance } = this.#options;
     const spares = [...hosts.getHosts().values()].filter((host) =>
@@ -443,30 +392,3 @@
 function getInessentialCount(plan: PoolPlan): number {
   return plan.hosts.length - plan.essentialHosts;
 }
-
-function createResourceLoad(forecast: number): ResourceLoad {
-  return {
-    used: 0,
-    waiting: 0,
-    waitingMilliseconds: 0,
-    forecast,
-    longRunning: 0,
-    hostCapacity: 0,
-  };
-}
-
-/** Raises the capacity of a load's hosts to a capacity where that is larger. */
-function raiseHostCapacity(load: PoolLoad, capacity: Readonly<Resources>): void {
-  load.cpu.hostCapacity = Math.max(load.cpu.hostCapacity, capacity.cpu);
-  load.memory.hostCapacity = Math.max(load.memory.hostCapacity, capacity.memory);
-}
-
-/** Raises the minimum number of executors of a load to what a step of long-running tasks needs. */
-function raiseLongRunningMinimum(
-  load: { minimumLongRunningExecutors: number },
-  step: { isLasting: boolean; count: number; mostPerExecutor: number },
-): void {
-  if (!step.isLasting) return;
-  const executors = step.mostPerExecutor === 0 ? 1 : Math.ceil(step.count / step.mostPerExecutor);
-  load.minimumLongRunningExecutors = Math.max(load.minimumLongRunningExecutors, executors);
-}
