State in a released claim the longest lease that remains

Cause: during an outage of the store an owner prolongs leases up to 5.3 s. An owner that is stopped right after it releases its claim, and its successor took every lease before a released claim to be 3 s.

Change: the owner reckons its remaining leases from the deadlines and clocks of its executors, and the released claim states them.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -237,6 +237,15 @@
     return this.#state.isFenced;
   }
 
+  /** Gets how long leases of this owner and of earlier ones may remain, in milliseconds. */
+  getRemainingLeaseMilliseconds(): number {
+    let end = this.#executorsInDoubt.size > 0 ? this.#inDoubtUntil : -Infinity;
+    for (const executor of this.#state.executors.values()) {
+      end = Math.max(end, executor.getLeaseExpiryTime());
+    }
+    return Math.max(0, end - this.#state.now);
+  }
+
   /** Gets the customer of a job that is accepted or being stored, and so may run. */
   findCustomer(id: string): string | undefined {
     return this.#jobs.findCustomer(id);
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -8,6 +8,11 @@
 import { type Answer, AnswerOutcome, CallKind } from "../front/call.ts";
 import type { ForwardedCall } from "../front/call_frame.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
+import {
+  getGrantedLeaseMilliseconds,
+  getLeaseWaitMilliseconds,
+  getLongestLeaseMilliseconds,
+} from "../ownership/lease_bounds.ts";
 import { CLAIM_VALIDITY_MILLISECONDS } from "../ownership/ownership_task.ts";
 import type { Claim, JournalStore } from "../ownership/ownership_ports.ts";
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
@@ -34,21 +39,9 @@
 const TICK_INTERVAL_MILLISECONDS = 25;
 /** The delay before a failed step of the take-over is retried, in milliseconds. */
 const TAKE_OVER_RETRY_MILLISECONDS = 50;
-/** The lease that a poll grants, in milliseconds: three times a long poll. */
-export const LEASE_MILLISECONDS = 3_000;
-/** The age of the claim at which the last lease ends, in milliseconds. */
-const MAXIMUM_LEASE_END_CLAIM_AGE_MILLISECONDS = 6_500;
-/**
- * The age of the claim from which the store counts as unavailable, in milliseconds. Leases are then
- * extended to the age above, so that runs outlast the outage.
- */
-const STORE_OUTAGE_CLAIM_AGE_MILLISECONDS = 1_200;
 /** How long journal writes may fail before submissions are rejected at once, in milliseconds. */
 const JOURNAL_OUTAGE_MILLISECONDS = 500;
 
-/** The factor by which waits for leases are prolonged, since an executor's clock may be 2% slow. */
-const CLOCK_DRIFT_FACTOR = 1.03;
-
 /** Sends orders to executors. */
 export interface ExecutorPort {
   /** Starts a run. */
@@ -96,8 +89,11 @@
   | { kind: "tick" }
   /** The journal has rejected a write because of a higher epoch. */
   | { kind: "fenced" }
-  /** The process is stopping: no more tasks are started, and the reply follows the last write. */
-  | { kind: "hand-over"; reply: Reply<void> };
+  /**
+   * The process is stopping: no more tasks are started, and the reply follows the last write. It is
+   * the longest lease that may remain at executors, in milliseconds.
+   */
+  | { kind: "hand-over"; reply: Reply<number> };
 
 /** Options of an `OwnerTask`. */
 export interface OwnerTaskOptions {
@@ -318,6 +314,7 @@
     const { jobs, unreadable } = readStoredJobs(this.#journalEntries);
     for (const { key, reason } of unreadable) log("journal-entry-unreadable", { key, reason });
     const startedAt = getMonotonicTime();
+    const earlierLeaseMilliseconds = getLongestLeaseMilliseconds(previousClaim);
     const earlierHostOrders = EarlierHostOrders.create({
       stored: this.#journalEntries,
       previousClaim,
@@ -326,7 +323,7 @@
     });
     this.#owner = FleetOwner.create({
       fence: epoch,
-      limits: { ...limits, earlierLeaseMilliseconds: this.#getEarlierLeaseMilliseconds() },
+      limits: { ...limits, earlierLeaseMilliseconds },
       ports: this.#createPorts(),
       log,
       startedAt,
@@ -338,7 +335,7 @@
       capacityPolicy: DEFAULT_CAPACITY_POLICY,
       maintenanceMilliseconds: this.#options.maintenanceMilliseconds,
       executors: this.#executorEntries,
-      inDoubtMilliseconds: this.#getEarlierLeaseMilliseconds() * CLOCK_DRIFT_FACTOR,
+      inDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeaseMilliseconds),
     });
     this.#owner.setPlannedActions(this.#plannedActions);
     this.#calls = CallControl.create({
@@ -356,6 +353,7 @@
       epoch,
       handedOver: previousClaim?.isReleased === true,
       previousRenewal: previousClaim?.renewal,
+      earlierLeaseMilliseconds: Math.round(earlierLeaseMilliseconds),
       jobs: jobs.length,
       executors: this.#executorEntries.length,
       durationMilliseconds: Math.round(milliseconds),
@@ -366,17 +364,6 @@
     this.#scheduleFlush();
   }
 
-  /**
-   * Gets the maximum lease that an earlier owner may have granted, in milliseconds. An owner that
-   * did not release its claim may have extended leases during a store outage: such a lease ends at
-   * a claim age of `MAXIMUM_LEASE_END_CLAIM_AGE_MILLISECONDS`, so it can't be longer than that.
-   */
-  #getEarlierLeaseMilliseconds(): number {
-    const { previousClaim } = this.#options;
-    if (previousClaim === undefined) return 0;
-    return previousClaim.isReleased ? LEASE_MILLISECONDS : MAXIMUM_LEASE_END_CLAIM_AGE_MILLISECONDS;
-  }
-
   #createPorts(): OwnerPorts {
     const { executors, getMonotonicTime, provider, writeStatus, askAdvice } = this.#options;
     return {
@@ -440,9 +427,7 @@
   #updateContext(): void {
     const { getMonotonicTime, getWallClockTime: getTimeOfDay } = this.#options;
     const age = this.#getClaimAge();
-    const leaseMilliseconds = age < STORE_OUTAGE_CLAIM_AGE_MILLISECONDS
-      ? LEASE_MILLISECONDS
-      : MAXIMUM_LEASE_END_CLAIM_AGE_MILLISECONDS - age;
+    const leaseMilliseconds = getGrantedLeaseMilliseconds(age);
     this.#owner?.setContext({
       now: getMonotonicTime(),
       timeOfDay: getTimeOfDay(),
@@ -501,15 +486,22 @@
     this.#queuedCalls = [];
   }
 
-  #handOver(reply: Reply<void>): void {
+  #handOver(reply: Reply<number>): void {
     this.#isHandingOver = true;
     this.#updateContext();
-    const { epoch, log } = this.#options;
-    log("hand-over-started", { epoch });
+    const { epoch, log, previousClaim } = this.#options;
+    // Before the take-over is complete, only earlier owners have granted leases.
+    const leaseMilliseconds = this.#owner?.getRemainingLeaseMilliseconds() ??
+      getLongestLeaseMilliseconds(previousClaim);
+    log("hand-over-started", { epoch, leaseMilliseconds: Math.round(leaseMilliseconds) });
     this.#rejectQueuedCalls();
-    if (this.#journal === undefined) return reply();
+    if (this.#journal === undefined) return reply(leaseMilliseconds);
     // Writes are stored in order, so this one is stored after all earlier ones.
-    this.#journal.post({ kind: "write", entries: [], onStored: reply });
+    this.#journal.post({
+      kind: "write",
+      entries: [],
+      onStored: () => reply(leaseMilliseconds),
+    });
   }
 }
 
--- a/src/ownership/ownership_ports.ts
+++ b/src/ownership/ownership_ports.ts
@@ -45,6 +45,11 @@
   renewal: number;
   /** How long others wait for the next renewal, in milliseconds; the minimum if unset. */
   timeoutMilliseconds?: number;
+  /**
+   * The longest lease that may remain at executors, in milliseconds: once the claim is released, of
+   * any owner; before, of those before its holder. Claims of old versions lack this field.
+   */
+  leaseMilliseconds?: number;
 }
 
 /** The result of appending a claim: `lost` if another claim was appended first. */
--- a/src/ownership/ownership_task.ts
+++ b/src/ownership/ownership_task.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from "../events/mod.ts";
 import { type ElapsedClock, Task } from "../tasks/mod.ts";
 import { ClaimBackoff } from "./claim_backoff.ts";
+import { getLongestLeaseMilliseconds } from "./lease_bounds.ts";
 import type { AppendClaim, Claim, ClaimAppendResult } from "./ownership_ports.ts";
 import {
   getPublishedTimeout,
@@ -57,8 +58,11 @@
   | { kind: "appended"; claim: Claim; sentAt: number; result: ClaimAppendResult }
   /** Allows this host to claim the fleet. */
   | { kind: "enable" }
-  /** Releases the claim of this host and prevents further ones. */
-  | { kind: "release" }
+  /**
+   * Releases the claim of this host and prevents further ones. The lease is the longest that may
+   * remain at executors; if it is unset, this host has granted none.
+   */
+  | { kind: "release"; leaseMilliseconds?: number | undefined }
   /** Reports that the process of a claim's holder has ended. */
   | { kind: "holder-ended"; holder: string };
 
@@ -103,6 +107,7 @@
   #isAppending = false;
   #isEnabled = false;
   #isReleasing = false;
+  #releasedLeaseMilliseconds: number | undefined;
 
   private constructor(options: OwnershipTaskOptions) {
     super({ name: "ownership" });
@@ -129,6 +134,7 @@
         return;
       case "release":
         this.#isReleasing = true;
+        this.#releasedLeaseMilliseconds = message.leaseMilliseconds;
         return this.#tick();
       case "holder-ended":
         this.#setEndedHolder(message.holder);
@@ -202,11 +208,15 @@
     if (this.#isAppending || this.#end === undefined) return;
     if (this.#isMine()) {
       if (!this.#isReleasing && getNow() - this.#renewedAt < RENEWAL_INTERVAL_MILLISECONDS) return;
+      const claim = this.#claim!;
       return this.#append({
-        ...this.#claim!,
-        renewal: this.#claim!.renewal + 1,
+        ...claim,
+        renewal: claim.renewal + 1,
         isReleased: this.#isReleasing,
         timeoutMilliseconds: this.#renewalTimeout.getMilliseconds(),
+        ...(this.#releasedLeaseMilliseconds === undefined
+          ? {}
+          : { leaseMilliseconds: this.#releasedLeaseMilliseconds }),
       });
     }
     if (this.#shouldClaim()) this.#claimFleet();
@@ -248,6 +258,7 @@
       isReleased: false,
       renewal: 0,
       timeoutMilliseconds: this.#renewalTimeout.getMilliseconds(),
+      leaseMilliseconds: getLongestLeaseMilliseconds(this.#claim),
     });
   }
 
--- a/src/ownership/ownership_task_test.ts
+++ b/src/ownership/ownership_task_test.ts
@@ -187,3 +187,19 @@
   });
   t.deepEqual(result, [[1, "front-a"], [2, "front-b"]]);
 });
+
+// Guards against a claim released soon after its take-over that hides the leases before it.
+test.serial("a released claim states the leases that may remain, those of earlier holders too", async (t) => {
+  const result = await runScenario(async (harness) => {
+    await harness.advance(1_000);
+    harness.hosts[0]!.task.post({ kind: "release", leaseMilliseconds: 5_300 });
+    await harness.advance(400);
+    harness.hosts[1]!.task.post({ kind: "release" });
+    await harness.advance(400);
+    const described = harness.log.claims.map(({ hostName, isReleased, leaseMilliseconds }) =>
+      `${hostName} ${isReleased ? "released" : "held"}: ${leaseMilliseconds}`
+    );
+    return [...new Set(described)];
+  });
+  t.snapshot(result);
+});
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -10,6 +10,7 @@
 import { OwnerTask } from "../owner/owner_task.ts";
 import { getClaimDelay } from "../ownership/claim_delay.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
+import { UNSTATED_LEASE_MILLISECONDS } from "../ownership/lease_bounds.ts";
 import { OwnershipTask, type OwnershipView } from "../ownership/ownership_task.ts";
 import type { Claim } from "../ownership/ownership_ports.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
@@ -390,13 +391,16 @@
   /** Stops the owner's decisions, waits until its journal is stored, and releases the claim. */
   async #releaseOwnership(): Promise<void> {
     const owner = this.#owner;
+    let leaseMilliseconds: number | undefined;
     if (owner !== undefined) {
-      const finished = new Promise<void>((resolve) => {
-        if (!owner.task.post({ kind: "hand-over", reply: resolve })) resolve();
+      const finished = new Promise<number>((resolve) => {
+        const isPosted = owner.task.post({ kind: "hand-over", reply: resolve });
+        if (!isPosted) resolve(UNSTATED_LEASE_MILLISECONDS);
       });
-      await Promise.race([finished, delay(HANDOVER_TIMEOUT_MILLISECONDS)]);
+      const timedOut = delay(HANDOVER_TIMEOUT_MILLISECONDS).then(() => UNSTATED_LEASE_MILLISECONDS);
+      leaseMilliseconds = await Promise.race([finished, timedOut]);
     }
-    this.#ownership.post({ kind: "release" });
+    this.#ownership.post({ kind: "release", leaseMilliseconds });
   }
 
   #deliverToOwner(message: Parameters<OwnerTask["post"]>[0] & { kind: "call" }): void {
