Keep the runs that the next life of an executor may have accepted

Cause: a new life counted as proof that all runs under the id were over, while an order names only the id.

Change: only runs that a report of the ended life has listed are lost. The others are reassigned to the next life, whose reports decide; unanswered starts are stopped there first, and its lease counts as the longest that executors accept. Reports of an earlier life and stops that it answered prove nothing about the present one. In the simulated fleet an order reaches whichever life has the id.

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -41,6 +41,11 @@
   entry: ExecutorEntry;
   /** When the owner first saw it, on the monotonic clock. */
   knownSince = -Infinity;
+  /**
+   * Whether an earlier incarnation had its id: orders for that one may have given this one a lease
+   * of any length, since their deadlines are on another clock.
+   */
+  isRestarted = false;
   /** Whether the platform's list still contains it. */
   isListed = true;
   /** Whether it has accepted the owner's fencing token. */
@@ -77,7 +82,10 @@
   readonly runs = new Map<string, AssignedRun>();
   readonly #reserved: Resources = { cpu: 0, memory: 0, accelerators: 0 };
   #clock: ClockReading | undefined;
+  /** The latest deadline that this owner has granted. */
   #latestDeadline = 0;
+  /** The latest deadline that others may have granted. */
+  #assumedDeadline = 0;
 
   private constructor(entry: ExecutorEntry) {
     this.entry = entry;
@@ -158,12 +166,12 @@
     return this.#latestDeadline;
   }
 
-  /** Accounts for a lease that another owner may have granted. */
+  /** Accounts for a lease that this owner did not grant, or not to this incarnation. */
   assumeLease(leaseMilliseconds: number): void {
     const clock = this.#clock;
     if (clock === undefined) return;
     const deadline = clock.executorTime + leaseMilliseconds;
-    this.#latestDeadline = Math.max(this.#latestDeadline, deadline);
+    this.#assumedDeadline = Math.max(this.#assumedDeadline, deadline);
   }
 
   /**
@@ -173,10 +181,24 @@
   getLeaseExpiryTime(): number {
     const clock = this.#clock;
     if (clock === undefined) return -Infinity;
-    const remaining = Math.max(0, this.#latestDeadline - clock.executorTime);
+    const deadline = Math.max(this.#latestDeadline, this.#assumedDeadline);
+    const remaining = Math.max(0, deadline - clock.executorTime);
     return clock.receivedAt + remaining * SLOW_CLOCK_FACTOR;
   }
 
+  /**
+   * Creates the next incarnation under the same id. Its journal record stays in place, so that a
+   * later owner polls it, and so does a planned action for its host.
+   */
+  createNextIncarnation(entry: ExecutorEntry): Executor {
+    const next = new Executor(entry);
+    next.isRestarted = true;
+    next.record = this.record;
+    next.isCordoned = this.isCordoned;
+    next.hasPendingMaintenance = this.hasPendingMaintenance;
+    return next;
+  }
+
   /** Gets whether the last reading of the executor's clock is past a deadline. */
   hasPassed(deadline: number): boolean {
     return this.#clock !== undefined && this.#clock.executorTime > deadline;
--- a/src/fleet/run.ts
+++ b/src/fleet/run.ts
@@ -44,11 +44,19 @@
   orderedAt: number;
   /** When the executor confirmed the run, on the monotonic clock; 0 before. */
   confirmedAt: number;
+  /**
+   * Whether a report of the executor has listed the run. Only a report names its incarnation: an
+   * answer to an order may come from the next one.
+   */
+  isReported: boolean;
   /** When a stop order was answered, on the monotonic clock. */
   stopAnsweredAt?: number;
   /** When the last stop order was sent, on the monotonic clock. */
   stopSentAt?: number;
-  /** The deadline for carrying out the start order, on the executor's clock. */
+  /**
+   * The deadline for carrying out the start order, on the executor's clock; `Infinity` if the clock
+   * was that of an earlier incarnation.
+   */
   startDeadline: number;
   /** The last reported progress, in percent; 100 for a long-running task that is up. */
   percent: number;
--- a/src/owner/dispatch_control.ts
+++ b/src/owner/dispatch_control.ts
@@ -218,6 +218,7 @@
     stage: "ordered" as const,
     orderedAt: 0,
     confirmedAt: 0,
+    isReported: false,
     startDeadline: 0,
     percent: 0,
     progressedAt: 0,
--- a/src/owner/dispatch_control_test.ts
+++ b/src/owner/dispatch_control_test.ts
@@ -35,6 +35,7 @@
     limits: {
       retentionMilliseconds: 1,
       stopMilliseconds: 900,
+      longestLeaseMilliseconds: 10_000,
       earlierLeaseMilliseconds: 0,
       offRackFactor: 1,
     },
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -38,6 +38,7 @@
   OrderOutcome,
   type PaceOrder,
   type PollAnswer,
+  type StopOrder,
 } from "./owner_ports.ts";
 
 /** The clock values and permissions that a decision is made with. */
@@ -203,16 +204,14 @@
   setExecutors(entries: readonly ExecutorEntry[]): void {
     const state = this.#state;
     this.#executorEntries = entries;
-    const listed = new Set<string>();
-    for (const entry of entries) {
-      listed.add(entry.id);
-      this.#setExecutor(entry);
-    }
+    const listedIds = new Set(entries.map(({ id }) => id));
+    const listedIncarnations = new Set(entries.map(getIncarnationKey));
+    for (const entry of entries) this.#setExecutor(entry);
     for (const incarnation of state.endedIncarnations.keys()) {
-      if (!listed.has(getExecutorId(incarnation))) state.endedIncarnations.delete(incarnation);
+      if (!listedIds.has(getExecutorId(incarnation))) state.endedIncarnations.delete(incarnation);
     }
     for (const executor of state.executors.values()) {
-      executor.isListed = listed.has(executor.id);
+      executor.isListed = listedIncarnations.has(getIncarnationKey(executor.entry));
       const isIdle = !executor.isListed && executor.runs.size === 0 &&
         !this.#executorsInDoubt.has(executor.id);
       // The executor may still be running: the list can lose entries along with the platform's
@@ -288,13 +287,8 @@
   }
 
   /** Handles the answer to a stop order. */
-  handleStopAnswer(
-    executorId: string,
-    taskName: string,
-    runNumber: number,
-    answer: OrderAnswer,
-  ): void {
-    this.#runs.handleStopAnswer(executorId, taskName, runNumber, answer);
+  handleStopAnswer(order: StopOrder, answer: OrderAnswer): void {
+    this.#runs.handleStopAnswer(order, answer);
   }
 
   /** Handles the answer to a poll. */
@@ -385,13 +379,12 @@
     const state = this.#state;
     if (state.endedIncarnations.has(getIncarnationKey(entry))) return;
     const known = state.executors.get(entry.id);
-    if (known !== undefined && known.entry.born !== entry.born && entry.born !== 0) {
-      if (known.entry.born > entry.born) return;
-      this.#polls.handleExecutorEnded(known, "executor restarted");
+    if (known !== undefined && known.entry.born !== entry.born) {
+      if (known.entry.born < entry.born) this.#polls.handleRestart(known, entry);
+      return;
     }
-    const executor = state.executors.get(entry.id);
-    if (executor !== undefined) {
-      executor.entry = entry;
+    if (known !== undefined) {
+      known.entry = entry;
       return;
     }
     const created = Executor.create(entry);
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -22,6 +22,8 @@
    * The maximum lease that an earlier owner may have granted, in milliseconds; 0 if there was none.
    */
   earlierLeaseMilliseconds: number;
+  /** The maximum lease that executors accept, in milliseconds. */
+  longestLeaseMilliseconds: number;
   /** The factor by which a task takes longer outside its preferred rack. */
   offRackFactor: number;
 }
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -31,6 +31,7 @@
     stage: RunStage.Running,
     orderedAt: 0,
     confirmedAt: 0,
+    isReported: false,
     startDeadline: 0,
     percent: 100,
     progressedAt: 0,
@@ -46,6 +47,7 @@
   const limits = {
     retentionMilliseconds: 1,
     stopMilliseconds: 900,
+    longestLeaseMilliseconds: 10_000,
     earlierLeaseMilliseconds: 0,
     offRackFactor: 1,
   };
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -202,7 +202,7 @@
       case "stop-answered": {
         const { order, answer } = message;
         this.#updateContext();
-        this.#owner?.handleStopAnswer(order.executor.id, order.task, order.run, answer);
+        this.#owner?.handleStopAnswer(order, answer);
         break;
       }
       case "pace-answered":
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -12,6 +12,7 @@
   type PollAnswer,
   type ReportedRun,
 } from "./owner_ports.ts";
+import { getLeaseWaitMilliseconds } from "../ownership/lease_bounds.ts";
 import { createExecutorDeletionEntry, createExecutorEntry } from "./executor_records.ts";
 import type { RunControl } from "./run_control.ts";
 
@@ -70,6 +71,8 @@
     if (answer.outcome !== OrderOutcome.Done) {
       return this.#handleFailedPoll(executor, answer.outcome);
     }
+    const { born } = answer.report;
+    if (born !== 0 && born !== executor.entry.born) return this.#handleOtherBorn(executor, born);
     if (executor.record === ExecutorRecordState.None) this.#writeRecord(executor);
     if (executor.pollsFailingSince !== undefined) {
       state.log("executor-regained", {
@@ -93,6 +96,38 @@
     this.removeExecutor(executor, reason);
   }
 
+  /**
+   * Replaces an executor by the next incarnation under its id, and gets the latter.
+   *
+   * The runs that the ended incarnation has reported are lost. The next one may have started the
+   * others, since orders name only the id: they stay assigned until its reports show what became of
+   * them.
+   */
+  handleRestart(executor: Executor, entry: ExecutorEntry): Executor {
+    const state = this.#state;
+    const next = executor.createNextIncarnation(entry);
+    next.knownSince = state.now;
+    const assignedRuns = [...executor.runs.values()];
+    const reported = assignedRuns.filter(({ run }) => run.isReported);
+    state.log("executor-restarted", {
+      executor: entry.id,
+      born: entry.born,
+      previousBorn: executor.entry.born,
+      lost: reported.length,
+      uncertain: assignedRuns.length - reported.length,
+    });
+    state.endedIncarnations.set(getIncarnationKey(executor.entry), state.now);
+    for (const assigned of reported) {
+      this.#runs.handleUnreportedEnd(executor, assigned, "executor restarted");
+    }
+    for (const assigned of [...executor.runs.values()]) {
+      this.#runs.reassign(executor, next, assigned);
+    }
+    state.executors.set(entry.id, next);
+    if (next.record !== ExecutorRecordState.None) this.#writeRecord(next);
+    return next;
+  }
+
   /** Removes an executor on which nothing runs; it counts as a new one if it is listed again. */
   removeExecutor(executor: Executor, reason: string): void {
     this.#state.executors.delete(executor.id);
@@ -136,6 +171,20 @@
     if (outcome === OrderOutcome.Fenced) this.#state.setFenced(executor.id);
   }
 
+  /** Handles a report of another incarnation than the one that was polled, under the same id. */
+  #handleOtherBorn(executor: Executor, born: number): void {
+    const { entry } = executor;
+    if (born < entry.born) {
+      return this.#state.log("executor-report-ignored", {
+        executor: entry.id,
+        born,
+        expected: entry.born,
+      });
+    }
+    // The next incarnation may be of another kind, so nothing starts there until it is listed.
+    this.handleRestart(executor, { ...entry, born }).isListed = false;
+  }
+
   #handleFailedPoll(executor: Executor, outcome: OrderOutcome): void {
     const state = this.#state;
     if (outcome === OrderOutcome.Fenced) state.setFenced(executor.id);
@@ -150,17 +199,13 @@
 
   #handleReport(executor: Executor, sentAt: number, report: ExecutorReport): void {
     const state = this.#state;
-    if (report.born !== 0 && executor.entry.born !== 0 && report.born !== executor.entry.born) {
-      const entry = { ...executor.entry, born: report.born };
-      this.handleExecutorEnded(executor, "executor restarted");
-      return state.log("executor-restarted", { executor: entry.id, born: report.born });
-    }
     executor.recordClockReading({ executorTime: report.executorTime, receivedAt: state.now });
     if (!executor.hasAcceptedFence) {
       executor.hasAcceptedFence = true;
       executor.assumeLease(state.limits.earlierLeaseMilliseconds);
       state.needsDispatch = true;
     }
+    if (executor.isRestarted) executor.assumeLease(state.limits.longestLeaseMilliseconds);
     for (const ended of report.ended) {
       if (ended.number <= executor.lastHandledEnd) continue;
       executor.lastHandledEnd = ended.number;
@@ -191,6 +236,7 @@
     const isUnansweredAndNotStopped = run.stage === RunStage.StartUnanswered &&
       run.stopSentAt === undefined;
     if (run.stage === RunStage.Ordered || isUnansweredAndNotStopped) run.stage = RunStage.Running;
+    run.isReported = true;
     if (run.confirmedAt === 0) state.confirmRun(assigned);
     if (reported.percent !== run.percent) run.progressedAt = state.now;
     run.percent = reported.percent;
@@ -231,6 +277,7 @@
       stage: RunStage.Running,
       orderedAt: state.now,
       confirmedAt: 0,
+      isReported: true,
       startDeadline: 0,
       percent: reported.percent,
       progressedAt: state.now,
@@ -279,9 +326,7 @@
         if (executor.hasPassed(run.startDeadline + START_DEADLINE_MARGIN_MILLISECONDS)) {
           return this.#runs.handleUnreportedEnd(executor, assigned, "start deadline passed");
         }
-        // The stop could arrive after the start and so end a running task beyond the disruption
-        // budget.
-        if (assigned.task.step.specification.mostAway > 0) return;
+        if (mayStartLater(assigned)) return;
         return this.#runs.stop(executor, assigned, "start unanswered");
       case RunStage.Running:
         if (run.confirmedAt > sentAt) return;
@@ -302,7 +347,7 @@
   #handleExpiredLease(executor: Executor): void {
     const state = this.#state;
     const { pollsFailingSince } = executor;
-    if (pollsFailingSince === undefined || state.now <= executor.getLeaseExpiryTime()) return;
+    if (pollsFailingSince === undefined || state.now <= this.#getLeaseExpiryTime(executor)) return;
     const mayReportLate = executor.isListed &&
       state.now - pollsFailingSince < LATE_REPORT_MILLISECONDS;
     for (const assigned of [...executor.runs.values()]) {
@@ -315,6 +360,15 @@
     }
   }
 
+  /** Gets the time by which no lease of an executor can remain, on the monotonic clock. */
+  #getLeaseExpiryTime(executor: Executor): number {
+    const expiry = executor.getLeaseExpiryTime();
+    if (!executor.isRestarted || expiry !== -Infinity) return expiry;
+    // It has not reported yet, but may have accepted orders for an earlier incarnation.
+    return executor.knownSince +
+      getLeaseWaitMilliseconds(this.#state.limits.longestLeaseMilliseconds);
+  }
+
   /** Deletes an executor's journal record, so that later owners need not wait for its answer. */
   #deleteRecord(executor: Executor): void {
     executor.record = ExecutorRecordState.None;
@@ -348,3 +402,11 @@
 function isStartUnanswered(run: Run): boolean {
   return run.stage === RunStage.StartUnanswered;
 }
+
+/**
+ * Gets whether a start that may arrive yet is waited for: a stop could arrive after it, and so end a
+ * running task beyond the disruption budget. A start without a deadline is not waited for.
+ */
+function mayStartLater({ run, task }: AssignedRun): boolean {
+  return task.step.specification.mostAway > 0 && run.startDeadline !== Infinity;
+}
--- a/src/owner/redelivery_test.ts
+++ b/src/owner/redelivery_test.ts
@@ -115,7 +115,12 @@
       writeStatus: () => {},
       providerLeaseMilliseconds: 3_000,
       maintenanceMilliseconds: 2_000,
-      limits: { retentionMilliseconds: 120_000, stopMilliseconds: 400, offRackFactor: 2 },
+      limits: {
+        retentionMilliseconds: 120_000,
+        stopMilliseconds: 400,
+        longestLeaseMilliseconds: 10_000,
+        offRackFactor: 2,
+      },
       onFenced: () => {},
       onMeasured: () => {},
       claimClock: ElapsedClock.create(),
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -12,7 +12,7 @@
 import { type Run, RunEnd, RunStage } from "../fleet/run.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { recordRunFailure, recordRunSuccess } from "./run_health.ts";
-import { type OrderAnswer, OrderOutcome, type ReportedEnd } from "./owner_ports.ts";
+import { type OrderAnswer, OrderOutcome, type ReportedEnd, type StopOrder } from "./owner_ports.ts";
 
 /** How long an executor that could not start a run gets no further starts, in milliseconds. */
 const REFUSED_START_PAUSE_MILLISECONDS = 1_000;
@@ -58,6 +58,7 @@
       stage: RunStage.Ordered,
       orderedAt: state.now,
       confirmedAt: 0,
+      isReported: false,
       startDeadline: deadline,
       percent: 0,
       progressedAt: state.now,
@@ -165,14 +166,12 @@
   }
 
   /** Handles the answer to a stop order. */
-  handleStopAnswer(
-    executorId: string,
-    taskName: string,
-    runNumber: number,
-    answer: OrderAnswer,
-  ): void {
-    const assigned = this.#state.executors.get(executorId)?.runs.get(taskName);
-    if (assigned === undefined || assigned.run.number !== runNumber) return;
+  handleStopAnswer(order: StopOrder, answer: OrderAnswer): void {
+    const executor = this.#state.executors.get(order.executor.id);
+    const assigned = executor?.runs.get(order.task);
+    if (assigned === undefined || assigned.run.number !== order.run) return;
+    // An earlier incarnation that has seen the stop does not prevent a late start in the next one.
+    if (executor!.entry.born !== order.executor.born) return;
     if (answer.outcome === OrderOutcome.Done) assigned.run.stopAnsweredAt = this.#state.now;
   }
 
@@ -226,6 +225,19 @@
     this.#requeue(task);
   }
 
+  /**
+   * Assigns a run to the next incarnation of its executor, which may have started it, or may yet.
+   * The deadline of its start and the answers to stop orders belong to the earlier one.
+   */
+  reassign(executor: Executor, next: Executor, assigned: AssignedRun): void {
+    const { run } = assigned;
+    executor.removeRun(assigned);
+    next.addRun(assigned);
+    run.startDeadline = Infinity;
+    delete run.stopSentAt;
+    delete run.stopAnsweredAt;
+  }
+
   /** Ends a job: stops its runs and starts none of its tasks again. */
   endJob(job: Job, outcome: JobState, reason: string): void {
     const state = this.#state;
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -341,6 +341,7 @@
       limits: {
         retentionMilliseconds: bounds.retentionMilliseconds,
         stopMilliseconds: bounds.stopMilliseconds,
+        longestLeaseMilliseconds: bounds.longestLeaseMilliseconds,
         offRackFactor: bounds.offRackFactor,
       },
       onFenced: () => this.#log("owner-fenced", { epoch }),
--- a/src/platform/stand_in/executor_model.ts
+++ b/src/platform/stand_in/executor_model.ts
@@ -4,6 +4,9 @@
 import { RunEnd } from "../../fleet/run.ts";
 import { type ExecutorReport, OrderOutcome } from "../../owner/owner_ports.ts";
 
+/** The maximum lease that an executor accepts, in milliseconds; it shortens longer ones. */
+export const MAXIMUM_LEASE_MILLISECONDS = 10_000;
+
 /** The course of a run that is not interrupted. */
 export interface RunPlan {
   /** The duration in milliseconds; `Infinity` for a run of a long-running task. */
@@ -89,7 +92,7 @@
     this.advance(now);
     if (!this.#acceptFence(order.fence)) return OrderOutcome.Fenced;
     if (this.getExecutorTime(now) > order.deadline) return OrderOutcome.DeadlinePassed;
-    this.#deadline = Math.max(this.#deadline, order.deadline);
+    this.#extendLease(order.deadline, now);
     const existing = this.running.get(order.task);
     if (existing?.run === order.run) return OrderOutcome.Done;
     if (existing !== undefined || order.run <= (this.#highestRuns.get(order.task) ?? 0)) {
@@ -119,7 +122,7 @@
   ): ExecutorReport | undefined {
     this.advance(now);
     if (!this.#acceptFence(order.fence)) return undefined;
-    this.#deadline = Math.max(this.#deadline, order.deadline);
+    this.#extendLease(order.deadline, now);
     while (
       this.#unacknowledgedEnds.length > 0 &&
       this.#unacknowledgedEnds[0]!.number <= order.acknowledged
@@ -191,6 +194,11 @@
     this.#options.onEnd(run, end, isAvailable);
   }
 
+  #extendLease(deadline: number, now: number): void {
+    const latest = this.getExecutorTime(now) + MAXIMUM_LEASE_MILLISECONDS;
+    this.#deadline = Math.max(this.#deadline, Math.min(deadline, latest));
+  }
+
   #acceptFence(fence: number): boolean {
     if (fence < this.#fence) return false;
     this.#fence = fence;
--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -27,7 +27,12 @@
 import { RENEWAL_INTERVAL_MILLISECONDS } from "../../ownership/ownership_task.ts";
 import { EventQueue } from "../../stand_ins/event_queue.ts";
 import type { Reply } from "../../tasks/mod.ts";
-import { ExecutorModel, type ModelRun, type RunPlan } from "./executor_model.ts";
+import {
+  ExecutorModel,
+  MAXIMUM_LEASE_MILLISECONDS,
+  type ModelRun,
+  type RunPlan,
+} from "./executor_model.ts";
 import { FrontModel } from "./front_model.ts";
 import { InvariantChecker } from "./invariant_checker.ts";
 import { ProviderModel } from "./provider_model.ts";
@@ -364,6 +369,7 @@
       limits: {
         retentionMilliseconds: 120_000,
         stopMilliseconds: STOP_MILLISECONDS,
+        longestLeaseMilliseconds: MAXIMUM_LEASE_MILLISECONDS,
         offRackFactor: 1.5,
         earlierLeaseMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS,
       },
@@ -563,10 +569,7 @@
         this.#send(
           order.executor,
           (model) => model.stop(order.task, order.run, order.fence, this.#now),
-          (outcome) =>
-            answer((owner) =>
-              owner.handleStopAnswer(order.executor.id, order.task, order.run, { outcome })
-            ),
+          (outcome) => answer((owner) => owner.handleStopAnswer(order, { outcome })),
         ),
       pace: () => {},
       poll: (order) => {
@@ -667,11 +670,12 @@
     answer: (outcome: OrderOutcome) => void,
   ): void {
     const { lostFraction, lateFraction } = this.#faults;
+    // An order names only the id, so the next incarnation under it accepts the order too.
     const deliver = (): OrderOutcome => {
       const model = this.#models.get(entry.id);
-      const isSameIncarnation = this.#entries.get(entry.id)?.born === entry.born;
-      return model === undefined || !isSameIncarnation ? OrderOutcome.WrongIncarnation : act(model);
+      return model === undefined ? OrderOutcome.WrongIncarnation : act(model);
     };
+    const model = this.#models.get(entry.id);
     const deliveryDelay = 1 + this.#random() * 4;
     if (this.#options.staleEntryMilliseconds !== undefined && !this.#models.has(entry.id)) {
       this.#schedule(ORDER_TIMEOUT_MILLISECONDS, () => answer(OrderOutcome.Unanswered));
@@ -683,6 +687,8 @@
       const isLate = this.#random() < lateFraction;
       if (isLate) {
         this.#schedule(2_000 + this.#random() * 10_000, () => {
+          // The executor itself delays the order, so a crash loses it.
+          if (this.#models.get(entry.id) !== model) return;
           this.#isDeliveringLate = true;
           this.#livenessChecker.addFault(this.#now);
           deliver();
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -10,6 +10,7 @@
   OrderOutcome,
   type OwnerPorts,
   type StartOrder,
+  type StopOrder,
 } from "../owner/owner_ports.ts";
 import { DEFAULT_CAPACITY_POLICY } from "../owner/pool_need.ts";
 
@@ -34,6 +35,8 @@
   owner: FleetOwner;
   /** The start orders. */
   starts: readonly StartOrder[];
+  /** The stop orders. */
+  stops: readonly StopOrder[];
   /** The orders to move hosts. */
   moves: readonly MoveOrder[];
   /** The job steps for which advice was requested. */
@@ -50,13 +53,14 @@
 export function createOwnerHarness(options: OwnerHarnessOptions): OwnerHarness {
   const ignore = () => {};
   const starts: StartOrder[] = [];
+  const stops: StopOrder[] = [];
   const moves: MoveOrder[] = [];
   const adviceRequests: string[] = [];
   const journal = new Map(options.stored);
   let callbacks: (() => void)[] = [];
   const ports: OwnerPorts = {
     start: (order) => starts.push(order),
-    stop: ignore,
+    stop: (order) => stops.push(order),
     pace: ignore,
     poll: ignore,
     askAdvice: (step) => adviceRequests.push(step),
@@ -78,6 +82,7 @@
     limits: {
       retentionMilliseconds: 1_000,
       stopMilliseconds: 900,
+      longestLeaseMilliseconds: 10_000,
       earlierLeaseMilliseconds: 0,
       offRackFactor: 1,
     },
@@ -121,5 +126,5 @@
     const report = { born, executorTime: now, running: [], ended: [] };
     advance(() => owner.handlePollAnswer(id, now, { outcome: OrderOutcome.Done, report }));
   };
-  return { owner, starts, moves, adviceRequests, journal, advance, reportNoRuns };
+  return { owner, starts, stops, moves, adviceRequests, journal, advance, reportNoRuns };
 }
