Take no run as lost by a report whose list of ends is cut

Cause: an executor lists at most 500 ends, and ends can't be acknowledged while the store is down. A run that was in neither list of its report counted as lost, "not reported", though its end was beyond the cut.

Change: the adapter states whether a report has all ends, and only such a report shows that a run is over. After a take-over, tasks of unknown state and hosts that are to be emptied wait for one as well.

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -50,6 +50,11 @@
   isListed = true;
   /** Whether it has accepted the owner's fencing token. */
   hasAcceptedFence = false;
+  /**
+   * Whether it has reported all runs that this owner did not start, and all of their ends, so that a
+   * task that it did not report neither runs nor was completed there.
+   */
+  hasReportedAll = false;
   /** The state of its journal record, which tells a later owner to poll it too. */
   record: ExecutorRecordState = ExecutorRecordState.None;
   /** The number of reported runs that belong to no known task and use unknown resources. */
--- a/src/owner/executor_restart_test.ts
+++ b/src/owner/executor_restart_test.ts
@@ -49,7 +49,7 @@
   const { task, run } = order;
   const report: Restart["report"] = (born, isRunning, parts = {}) => {
     const running = isRunning ? [{ task, run, checkpoint: "", percent: 5, usage: 0 }] : [];
-    const whole = { born, executorTime: 50, running, ended: [], ...parts };
+    const whole = { born, executorTime: 50, running, ended: [], hasAllEnds: true, ...parts };
     advance(() =>
       owner.handlePollAnswer(FIRST.id, NOW, { outcome: OrderOutcome.Done, report: whole })
     );
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -454,8 +454,12 @@
     const capacity = { ...NO_RESOURCES };
     for (const id of this.#executorsInDoubt) {
       const executor = state.executors.get(id);
-      const isExpected = mayBeRunning || (mayReportLate && executor?.isListed === true);
-      if (executor === undefined || executor.hasAcceptedFence || !isExpected) {
+      // Ends that a cut list lacks come with the next ones, once those before are acknowledged.
+      const isReporting = executor?.hasAcceptedFence === true &&
+        executor.pollsFailingSince === undefined;
+      const isExpected = mayBeRunning || isReporting ||
+        (mayReportLate && executor?.isListed === true);
+      if (executor === undefined || executor.hasReportedAll || !isExpected) {
         this.#executorsInDoubt.delete(id);
         continue;
       }
--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -70,6 +70,8 @@
   seed: number;
   faults: SimulationFaults;
   falsifiedInput?: FalsifiedInput;
+  /** The maximum number of ends that an executor reports at a time. */
+  listedEnds?: number;
   /** The events that are applied in turn, at fixed intervals. */
   events: readonly string[];
 }
@@ -84,6 +86,7 @@
     faults,
     configuration: CONFIGURATION,
     executors: EXECUTORS,
+    listedEnds: scenario.listedEnds,
     ...(scenario.falsifiedInput === undefined ? {} : { falsifiedInput: scenario.falsifiedInput }),
   });
   world.run(200);
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -241,6 +241,6 @@
   /** Gets whether an executor has reported the runs of earlier owners, or can't have any. */
   #areRunsKnown(executor: Executor): boolean {
     const mayHaveRuns = executor.record === ExecutorRecordState.Stored;
-    return executor.hasAcceptedFence || !mayHaveRuns || this.#state.now >= this.#inDoubtUntil;
+    return executor.hasReportedAll || !mayHaveRuns || this.#state.now >= this.#inDoubtUntil;
   }
 }
--- a/src/owner/owner_ports.ts
+++ b/src/owner/owner_ports.ts
@@ -124,8 +124,10 @@
   executorTime: number;
   /** The runs that are running. */
   running: readonly ReportedRun[];
-  /** The runs that have ended and were not acknowledged yet. */
+  /** The runs that have ended and were not acknowledged yet, the earliest first. */
   ended: readonly ReportedEnd[];
+  /** Whether `ended` has all of them; otherwise a run that is not reported may have ended. */
+  hasAllEnds: boolean;
 }
 
 /** The answer to a poll. */
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -141,7 +141,7 @@
       ? POLL_INTERVAL_MILLISECONDS
       : POLL_RETRY_INTERVAL_MILLISECONDS;
     if (this.#state.now - executor.polledAt < interval) return false;
-    return !executor.hasAcceptedFence || executor.orphanRunCount > 0 ||
+    return !executor.hasReportedAll || executor.orphanRunCount > 0 ||
       executor.pollsFailingSince !== undefined ||
       executor.runs.size > 0 ||
       executor.lastStoredEnd > executor.lastAcknowledgedEnd;
@@ -219,6 +219,9 @@
       this.#handleReportedRun(executor, reported);
     }
     if (executor.orphanRunCount < previousOrphanCount) state.needsDispatch = true;
+    // A run that is in neither list may have ended beyond the end of a list that was cut.
+    if (!report.hasAllEnds) return;
+    executor.hasReportedAll = true;
     for (const assigned of [...executor.runs.values()]) {
       if (!reportedTasks.has(assigned.task.name)) {
         this.#handleUnreported(executor, assigned, sentAt);
--- a/src/owner/redelivery_test.ts
+++ b/src/owner/redelivery_test.ts
@@ -105,7 +105,13 @@
         pace: done,
         poll: () => {
           const { born } = EXECUTOR;
-          const report = { born, executorTime: clock.now, running: [], ended: [] };
+          const report = {
+            born,
+            executorTime: clock.now,
+            running: [],
+            ended: [],
+            hasAllEnds: true,
+          };
           return new Promise((resolve) =>
             setTimeout(() => resolve({ outcome: OrderOutcome.Done, report }), 5)
           );
--- a/src/owner/silent_executor_test.ts
+++ b/src/owner/silent_executor_test.ts
@@ -52,7 +52,13 @@
     );
   }
   const ended = [{ number: 1, task, run, end: RunEnd.Done, checkpoint: "" }];
-  const report = { born: executor.born, executorTime: milliseconds, running: [], ended };
+  const report = {
+    born: executor.born,
+    executorTime: milliseconds,
+    running: [],
+    ended,
+    hasAllEnds: true,
+  };
   advance(() =>
     owner.handlePollAnswer(executor.id, polledAt(), { outcome: OrderOutcome.Done, report })
   );
--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -18,6 +18,8 @@
 import { HttpLink, type LinkResponse } from "./http_link.ts";
 import { parseJson } from "./store_client.ts";
 
+/** The maximum number of ends that an executor lists at a time. */
+const MAXIMUM_LISTED_ENDS = 500;
 /** The maximum number of connections to one executor: one for polls, the others for orders. */
 const MAXIMUM_CONNECTIONS = 4;
 const JSON_HEADERS = { "content-type": "application/json" };
@@ -138,6 +140,7 @@
           end: (RUN_ENDS.has(end) ? end : RunEnd.Failed) as RunEnd,
           checkpoint,
         })),
+        hasAllEnds: ended.length < MAXIMUM_LISTED_ENDS,
       },
     };
   }
--- a/src/platform/executor_client_test.ts
+++ b/src/platform/executor_client_test.ts
@@ -49,3 +49,40 @@
   t.is((await poll).outcome, OrderOutcome.Done);
   t.deepEqual(events, []);
 });
+
+// Guards against a cut list of ends that is taken for a complete one.
+test("a report with as many ends as an executor lists at a time does not count as complete", async (t) => {
+  const standIn = RunExecutorStandIn.create({
+    id: "i-1",
+    service: "tugdesk",
+    zone: "zl-a",
+    planRun: () => ({ durationMilliseconds: 0, end: RunEnd.Done }),
+  });
+  const { addr } = await standIn.listen();
+  const executor = createListedExecutor({ address: String(addr) });
+  const client = ExecutorClient.create(() => {});
+  t.teardown(() => (client.close(), standIn.close()));
+  const poll = async () => {
+    const order = { executor, fence: 1, acknowledged: 0, deadline: 0, waitMilliseconds: 0 };
+    const answer = await client.poll(order);
+    if (answer.outcome !== OrderOutcome.Done) return answer.outcome;
+    return { ends: answer.report.ended.length, hasAllEnds: answer.report.hasAllEnds };
+  };
+  const start = (index: number) =>
+    client.start({
+      executor,
+      task: `j.0.0.${index}`,
+      run: 1,
+      text: "",
+      deadline: 60_000,
+      fence: 1,
+      checkpoint: "",
+    });
+  for (let index = 0; index < 499; index += 1) await start(index);
+  const complete = await poll();
+  for (let index = 499; index < 510; index += 1) await start(index);
+  t.deepEqual([complete, await poll()], [
+    { ends: 499, hasAllEnds: true },
+    { ends: 500, hasAllEnds: false },
+  ]);
+});
--- a/src/platform/stand_in/executor_model.ts
+++ b/src/platform/stand_in/executor_model.ts
@@ -7,6 +7,9 @@
 /** The maximum lease that an executor accepts, in milliseconds; it shortens longer ones. */
 export const MAXIMUM_LEASE_MILLISECONDS = 10_000;
 
+/** The maximum number of ends in a report, unless a model has another. */
+const DEFAULT_LISTED_ENDS = 500;
+
 /** The course of a run that is not interrupted. */
 export interface RunPlan {
   /** The duration in milliseconds; `Infinity` for a run of a long-running task. */
@@ -41,6 +44,8 @@
   stopMilliseconds: number;
   /** How long a long-running task takes to become available, in milliseconds. */
   startupMilliseconds: number;
+  /** The maximum number of ends in a report. */
+  listedEnds?: number | undefined;
   /** Plans the course of a run. */
   planRun: (task: string, run: number) => RunPlan;
   /** Called when a run starts. */
@@ -129,6 +134,7 @@
     ) {
       this.#unacknowledgedEnds.shift();
     }
+    const { listedEnds = DEFAULT_LISTED_ENDS } = this.#options;
     return {
       born: this.#options.born,
       executorTime: this.getExecutorTime(now),
@@ -139,7 +145,9 @@
         percent: this.getPercent(run, now),
         usage: 0,
       })),
-      ended: this.#unacknowledgedEnds.map((end) => ({ ...end, checkpoint: "" })),
+      ended: this.#unacknowledgedEnds.slice(0, listedEnds)
+        .map((end) => ({ ...end, checkpoint: "" })),
+      hasAllEnds: this.#unacknowledgedEnds.length < listedEnds,
     };
   }
 
--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -723,6 +723,7 @@
       startedAt: this.#now,
       stopMilliseconds: STOP_MILLISECONDS,
       startupMilliseconds: 200,
+      listedEnds: this.#options.listedEnds,
       planRun: this.#options.planRun ?? ((task) => this.#planRun(task)),
       onStart: (run) => {
         this.#countEvent("started");
--- a/src/platform/stand_in/simulation_options.ts
+++ b/src/platform/stand_in/simulation_options.ts
@@ -92,6 +92,8 @@
    * out of service, in milliseconds.
    */
   staleEntryMilliseconds?: number;
+  /** The maximum number of ends that an executor reports at a time. */
+  listedEnds?: number | undefined;
   /** Plans the course of a run. */
   planRun?: (task: string) => RunPlan;
   /** Gets how far the clock of the owner with a fence is ahead, in milliseconds; 0 by default. */
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -123,7 +123,7 @@
     for (const callback of pendingCallbacks) callback();
   };
   const reportNoRuns = ({ id, born }: ExecutorEntry) => {
-    const report = { born, executorTime: now, running: [], ended: [] };
+    const report = { born, executorTime: now, running: [], ended: [], hasAllEnds: true };
     advance(() => owner.handlePollAnswer(id, now, { outcome: OrderOutcome.Done, report }));
   };
   return { owner, starts, stops, moves, adviceRequests, journal, advance, reportNoRuns };
