Acknowledge an end to an executor only until the answer

Cause: every poll repeated the number of the last stored end. When the executor had restarted under its id, its next life discarded its own ends up to that number before the owner had handled them.

Change: a number is sent until a poll with it is answered, and not again. Executors keep what they have discarded, so nothing else changes for one life.

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -83,6 +83,8 @@
   lastStoredEnd = 0;
   /** The sequence number of the last run end that was acknowledged to the executor. */
   lastAcknowledgedEnd = 0;
+  /** The sequence number of the last run end whose acknowledgement the executor has answered. */
+  lastDiscardedEnd = 0;
   /** The runs by task name. */
   readonly runs = new Map<string, AssignedRun>();
   readonly #reserved: Resources = { cpu: 0, memory: 0, accelerators: 0 };
--- a/src/owner/fleet_hosts_test.ts
+++ b/src/owner/fleet_hosts_test.ts
@@ -489,3 +489,13 @@
   });
   t.deepEqual(seen, cases.map(([rule]) => [rule, true]));
 });
+
+// Guards against an acknowledgement for one life of an executor that discards ends of the next one.
+test("no task runs again whose end an executor listed after restarts under its id", (t) => {
+  const world = simulate({
+    seed: 334244642,
+    faults: { lostFraction: 0.2, lateFraction: 1, failingFraction: 0 },
+    events: ["crash", "crash", "owner", "crash"],
+  });
+  t.deepEqual(world.violations, []);
+});
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -159,7 +159,8 @@
     state.ports.poll({
       executor: executor.entry,
       fence: state.fence,
-      acknowledged: executor.lastStoredEnd,
+      // Repeated needlessly, it could discard ends of a next incarnation, whose numbers start anew.
+      acknowledged: executor.lastStoredEnd > executor.lastDiscardedEnd ? executor.lastStoredEnd : 0,
       deadline: mayExtend ? executor.grantLease(state.now, state.leaseMilliseconds) : 0,
       waitMilliseconds: mayWait ? LONG_POLL_MILLISECONDS : 0,
     });
@@ -199,6 +200,7 @@
 
   #handleReport(executor: Executor, sentAt: number, report: ExecutorReport): void {
     const state = this.#state;
+    executor.lastDiscardedEnd = executor.lastAcknowledgedEnd;
     executor.recordClockReading({ executorTime: report.executorTime, receivedAt: state.now });
     if (!executor.hasAcceptedFence) {
       executor.hasAcceptedFence = true;
