Let no job be too large for its records, and no write hold back others

Cause: the record of a job's progress named each done task.

Values over the limit of a record are stored in parts in the same append. Jobs that could not be stored with their progress, or sent to the owner, get 413 at once, by limits that follow from the settings. Missed occurrences are added as earlier ones end. A write that the store refuses for good is dropped and logged. Both decoders of a job share one schema, so that none takes what the next refuses.

--- a/src/front/call.ts
+++ b/src/front/call.ts
@@ -51,6 +51,8 @@
   InvalidKey: "no-key",
   /** The call is malformed. */
   Malformed: "malformed",
+  /** The job is larger than can be stored. */
+  TooLarge: "too-large",
   /** The call was not carried out; the caller should retry later. */
   Unavailable: "unavailable",
   /** Another host owns the fleet and must get the call. Internal: callers never see this outcome. */
@@ -65,6 +67,7 @@
   AnswerOutcome.UnknownQueue,
   AnswerOutcome.InvalidKey,
   AnswerOutcome.Malformed,
+  AnswerOutcome.TooLarge,
   AnswerOutcome.Unavailable,
 ]);
 
@@ -134,6 +137,11 @@
   return NOT_CARRIED_OUT_OUTCOMES.has(answer.outcome);
 }
 
+/** Creates the answer to a submission whose job is too large. */
+export function createTooLarge(reason: string): Answer {
+  return { outcome: AnswerOutcome.TooLarge, reason };
+}
+
 /** Creates the answer to a call that was not carried out and should be retried. */
 export function createUnavailable(reason: string, retryAfterSeconds = 1): Answer {
   return { outcome: AnswerOutcome.Unavailable, reason, retryAfterSeconds };
--- a/src/front/call_frame.ts
+++ b/src/front/call_frame.ts
@@ -1,9 +1,9 @@
 /** The CBOR encoding of the messages between the host that received a call and the owner. */
 
 import { Decoder, Encoder } from "cbor-x";
-import { z } from "zod";
 import { encodeFrame } from "../links/frame.ts";
 import { JobState } from "../fleet/job.ts";
+import { jobSpecificationSchema } from "../fleet/job_specification_schema.ts";
 import { type Answer, AnswerOutcome, type Call, CallKind } from "./call.ts";
 
 /** An authorized call that the receiving host forwards to the owner. */
@@ -34,33 +34,6 @@
 const OUTCOMES: ReadonlySet<unknown> = new Set(Object.values(AnswerOutcome));
 const JOB_STATES: ReadonlySet<unknown> = new Set(Object.values(JobState));
 
-const amountSchema = z.number().finite().min(0);
-const countSchema = z.int().min(0);
-
-const specificationSchema = z.object({
-  text: z.string(),
-  steps: z.array(z.object({
-    count: z.int().min(1),
-    demand: z.object({ cpu: amountSchema, memory: amountSchema, accelerators: amountSchema }),
-    estimatedMilliseconds: amountSchema,
-    after: z.array(countSchema),
-    isGang: z.boolean(),
-    wantsSameRack: z.boolean(),
-    label: z.string().optional(),
-    rack: z.string().optional(),
-    mostPerExecutor: countSchema,
-    isSpeculative: z.boolean(),
-    isLasting: z.boolean(),
-    image: z.string().optional(),
-    tailMilliseconds: amountSchema,
-    isFiller: z.boolean(),
-    mostAway: countSchema,
-  })),
-  repeats: countSchema,
-  firstAt: z.number().finite(),
-  intervalMilliseconds: amountSchema,
-});
-
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
@@ -91,7 +64,8 @@
   return CALL_KINDS.has(call?.kind) && typeof call?.version === "number" &&
     [call.host, call.path, call.jobId, call.queue, call.customer]
       .every((field) => typeof field === "string") &&
-    (call.specification === undefined || specificationSchema.safeParse(call.specification).success);
+    (call.specification === undefined ||
+      jobSpecificationSchema.safeParse(call.specification).success);
 }
 
 /** Gets whether an answer has all fields that its outcome requires. */
--- a/src/front/front_task.ts
+++ b/src/front/front_task.ts
@@ -2,10 +2,18 @@
 
 import type { EventLog } from "../events/mod.ts";
 import type { Configuration } from "../fleet/configuration.ts";
+import type { JobLimits } from "../fleet/job_limits.ts";
 import { parseSocketAddress } from "../links/socket_address.ts";
 import type { OwnershipView } from "../ownership/ownership_task.ts";
 import { type ElapsedClock, type Reply, Task } from "../tasks/mod.ts";
-import { type Answer, authorizeCall, type Call, createUnavailable, isRefusal } from "./call.ts";
+import {
+  type Answer,
+  authorizeCall,
+  type Call,
+  createTooLarge,
+  createUnavailable,
+  isRefusal,
+} from "./call.ts";
 import type { ForwardedCall } from "./call_frame.ts";
 import { OwnerLinkTask } from "./owner_link_task.ts";
 import { PendingCall } from "./pending_call.ts";
@@ -38,6 +46,8 @@
   getMaximumConfigurationAge: () => number;
   /** Called with the answer to each call and its duration, in milliseconds. */
   onAnswered: (call: Call, answer: Answer, milliseconds: number) => void;
+  /** The limits on the size of a job: a larger one would not fit in a message to the owner. */
+  jobLimits: JobLimits;
   /** The clock for the age of the configuration. */
   clock: ElapsedClock;
   /** The event log. */
@@ -133,6 +143,9 @@
       if (!isPublic) return respond(createUnavailable("the configuration here may be outdated"));
     }
     if (isRefusal(authorized)) return respond(authorized);
+    const { specification } = call;
+    const refusal = specification && this.#options.jobLimits.getRefusal(specification);
+    if (refusal !== undefined) return respond(createTooLarge(refusal));
     this.#lastNumber += 1;
     const number = this.#lastNumber;
     const pending = PendingCall.create({
--- a/src/front/front_task_test.ts
+++ b/src/front/front_task_test.ts
@@ -1,7 +1,7 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import test from "ava";
 import { Configuration } from "../fleet/configuration.ts";
-import { createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createQueue, JOB_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { ElapsedClock, type Reply } from "../tasks/mod.ts";
 import { type Answer, AnswerOutcome, CallKind, createUnavailable } from "./call.ts";
@@ -53,6 +53,7 @@
   const front = FrontTask.create({
     deliverLocally: (_call, reply) => isOwner ? void replies.push(reply) : deny(reply),
     onHolderEnded: () => {},
+    jobLimits: JOB_LIMITS,
     getMaximumConfigurationAge: () => Infinity,
     onAnswered: () => {},
     clock: ElapsedClock.create(),
--- a/src/owner/call_control.ts
+++ b/src/owner/call_control.ts
@@ -3,12 +3,14 @@
 import { getErrorMessage } from "../errors/mod.ts";
 import type { EventLog } from "../events/mod.ts";
 import type { Configuration } from "../fleet/configuration.ts";
+import type { JobLimits } from "../fleet/job_limits.ts";
 import {
   type Answer,
   type AnswerBasis,
   AnswerOutcome,
   authorizeCall,
   CallKind,
+  createTooLarge,
   createUnavailable,
   isRefusal,
 } from "../front/call.ts";
@@ -38,6 +40,8 @@
   getClaimAge: () => number;
   /** Gets whether the journal can't store new jobs at present. */
   isStoreUnavailable: () => boolean;
+  /** The limits on the size of a job. */
+  jobLimits: JobLimits;
   /** Logs calls that failed. */
   log: EventLog;
 }
@@ -109,13 +113,18 @@
       const reason = "the job is missing";
       return reply(this.#refuse(call, { outcome: AnswerOutcome.Malformed, reason }));
     }
-    const { isStoreUnavailable, owner } = this.#options;
+    const { isStoreUnavailable, jobLimits, owner } = this.#options;
     if (!this.#isKnown(jobId) && isStoreUnavailable()) {
       return reply(createUnavailable("the store does not answer", STORE_RETRY_AFTER_SECONDS));
     }
-    owner.submit({ id: jobId, queue, customer, specification }, () => {
-      reply({ outcome: AnswerOutcome.Accepted });
-    });
+    const tooLarge = (reason: string) => this.#refuse(call, createTooLarge(reason));
+    const refusal = jobLimits.getRefusal(specification);
+    if (refusal !== undefined) return reply(tooLarge(refusal));
+    owner.submit(
+      { id: jobId, queue, customer, specification },
+      () => reply({ outcome: AnswerOutcome.Accepted }),
+      () => reply(tooLarge("the job is too large to be stored")),
+    );
   }
 
   /**
--- a/src/owner/call_control_test.ts
+++ b/src/owner/call_control_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { Configuration } from "../fleet/configuration.ts";
 import { type Answer, AnswerOutcome, CallKind } from "../front/call.ts";
-import { createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createQueue, JOB_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 import { createOwnerHarness } from "../stand_ins/owner_harness.ts";
 import { CallControl } from "./call_control.ts";
 
@@ -21,6 +21,7 @@
     epoch: 1,
     getConfiguration: () => CONFIGURATION,
     getClaimAge: () => 0,
+    jobLimits: JOB_LIMITS,
     isStoreUnavailable: () => false,
     log: (event) => events.push(event),
   });
--- a/src/owner/dispatch_control_test.ts
+++ b/src/owner/dispatch_control_test.ts
@@ -2,7 +2,7 @@
 import { Configuration } from "../fleet/configuration.ts";
 import { Executor, ExecutorRecordState } from "../fleet/executor.ts";
 import { Job, TaskState } from "../fleet/job.ts";
-import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createListedExecutor, createQueue, JOB_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 import { createOwnerPorts } from "../stand_ins/owner_ports_fixture.ts";
 import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { DispatchControl } from "./dispatch_control.ts";
@@ -36,6 +36,7 @@
       retentionMilliseconds: 1,
       stopMilliseconds: 900,
       longestLeaseMilliseconds: 10_000,
+      jobLimits: JOB_LIMITS,
       earlierLeaseMilliseconds: 0,
       offRackFactor: 1,
     },
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -32,6 +32,7 @@
 import { RunControl } from "./run_control.ts";
 import { RunHealth } from "./run_health.ts";
 import {
+  type JournalEntry,
   type MaintainOrder,
   type MoveOrder,
   type OrderAnswer,
@@ -98,6 +99,9 @@
 /** The interval of host list reads otherwise, in milliseconds. */
 const IDLE_LIST_INTERVAL_MILLISECONDS = 3_000;
 
+/** The size up to which progress entries are written together, in bytes. */
+const MAXIMUM_WRITE_BYTES = 100_000;
+
 /** Combines the owner's decisions: takes events and sends orders through its ports. */
 export class FleetOwner {
   readonly #state: FleetState;
@@ -221,9 +225,9 @@
     state.needsDispatch = true;
   }
 
-  /** Submits a job. */
-  submit(submission: Submission, onAccepted: () => void): void {
-    this.#jobs.submit(submission, onAccepted);
+  /** Submits a job; it is rejected if it can't be stored. */
+  submit(submission: Submission, onAccepted: () => void, onRejected?: () => void): void {
+    this.#jobs.submit(submission, onAccepted, onRejected);
   }
 
   /** Gets the state of a job as reported to callers, or undefined if the job is not known. */
@@ -506,7 +510,13 @@
     const ended = jobs.filter((job) => job.outcome !== undefined);
     state.changedJobs.clear();
     for (const [executor, end] of unwrittenEnds) executor.lastWrittenEnd = end;
-    state.ports.write(jobs.map(createProgressEntry), () => {
+    const { jobLimits } = state.limits;
+    const entries = jobs.map((job) => createProgressEntry(job, jobLimits.maximumValueBytes));
+    // Several large entries could exceed what the store takes in a call.
+    const groups = groupBySize(entries, MAXIMUM_WRITE_BYTES);
+    const lastGroup = groups.pop() ?? [];
+    for (const group of groups) state.ports.write(group, () => {});
+    state.ports.write(lastGroup, () => {
       for (const [executor, end] of unwrittenEnds) {
         executor.lastStoredEnd = Math.max(executor.lastStoredEnd, end);
       }
@@ -522,6 +532,22 @@
   }
 }
 
+/** Groups entries in their order, each group up to a size unless it has a single entry. */
+function groupBySize(entries: readonly JournalEntry[], maximumBytes: number): JournalEntry[][] {
+  const groups: JournalEntry[][] = [];
+  let bytes = 0;
+  for (const entry of entries) {
+    const size = entry.value?.length ?? 0;
+    const group = groups.at(-1);
+    if (group === undefined || bytes + size > maximumBytes) {
+      groups.push([entry]);
+      bytes = 0;
+    } else group.push(entry);
+    bytes += size;
+  }
+  return groups;
+}
+
 function addUsage(usage: Map<string, Resources>, customer: string, demand: Resources): void {
   const total = usage.get(customer) ?? { ...NO_RESOURCES };
   addResources(total, demand);
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -4,6 +4,7 @@
 import { Configuration, type Queue } from "../fleet/configuration.ts";
 import { type AssignedRun, Executor } from "../fleet/executor.ts";
 import { type Job, type JobStep, type JobTask, TaskState } from "../fleet/job.ts";
+import type { JobLimits } from "../fleet/job_limits.ts";
 import { parseTaskName } from "../fleet/job_specification.ts";
 import { addResources, type Resources } from "../fleet/resources.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
@@ -24,6 +25,8 @@
   earlierLeaseMilliseconds: number;
   /** The maximum lease that executors accept, in milliseconds. */
   longestLeaseMilliseconds: number;
+  /** The limits on the size of a job. */
+  jobLimits: JobLimits;
   /** The factor by which a task takes longer outside its preferred rack. */
   offRackFactor: number;
 }
--- a/src/owner/hand_over_lease_test.ts
+++ b/src/owner/hand_over_lease_test.ts
@@ -7,7 +7,7 @@
 import type { Claim, JournalStore } from "../ownership/ownership_ports.ts";
 import { RENEWAL_INTERVAL_MILLISECONDS } from "../ownership/ownership_task.ts";
 import { ExecutorModel } from "../platform/stand_in/executor_model.ts";
-import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createListedExecutor, createQueue, JOB_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
 import { OrderOutcome } from "./owner_ports.ts";
@@ -91,6 +91,7 @@
         retentionMilliseconds: 120_000,
         stopMilliseconds: 400,
         longestLeaseMilliseconds: 10_000,
+        jobLimits: JOB_LIMITS,
         offRackFactor: 2,
       },
       onFenced: () => {},
@@ -235,6 +236,7 @@
       retentionMilliseconds: 120_000,
       stopMilliseconds: 400,
       longestLeaseMilliseconds: 10_000,
+      jobLimits: JOB_LIMITS,
       offRackFactor: 2,
     },
     onFenced: () => {},
--- a/src/owner/job_control.ts
+++ b/src/owner/job_control.ts
@@ -1,6 +1,7 @@
 /** Serves callers' requests about jobs: submit, get state, cancel, and count queued jobs. */
 
 import { Job, JobState, TaskState } from "../fleet/job.ts";
+import { getTaskCount } from "../fleet/job_limits.ts";
 import type { JobSpecification } from "../fleet/job_specification.ts";
 import { addResources, NO_RESOURCES } from "../fleet/resources.ts";
 import type { FleetState } from "./fleet_state.ts";
@@ -34,8 +35,8 @@
 /** A job that is being stored. */
 interface JobBeingStored {
   job: Job;
-  /** Called once it is stored. */
-  callbacks: (() => void)[];
+  /** Called once it is stored, or turns out not to be storable. */
+  callbacks: { onAccepted: () => void; onRejected: () => void }[];
 }
 
 /** The next occurrence of a repeating job. */
@@ -67,16 +68,19 @@
     return new JobControl(state, runs);
   }
 
-  /** Stores a job and calls back when it is accepted; a known job is accepted at once. */
-  submit(submission: Submission, onAccepted: () => void): void {
+  /**
+   * Stores a job and calls back when it is accepted, or rejected because it can't be stored; a known
+   * job is accepted at once.
+   */
+  submit(submission: Submission, onAccepted: () => void, onRejected = () => {}): void {
     const state = this.#state;
     if (state.jobs.has(submission.id)) return onAccepted();
     const accepting = this.#accepting.get(submission.id);
     if (accepting !== undefined) {
-      accepting.callbacks.push(onAccepted);
+      accepting.callbacks.push({ onAccepted, onRejected });
       return;
     }
-    const callbacks = [onAccepted];
+    const callbacks = [{ onAccepted, onRejected }];
     const job = Job.create({ ...submission, acceptedAt: state.timeOfDay });
     this.#accepting.set(submission.id, { job, callbacks });
     // A later owner needs the queue to execute the job, even if operators have removed it since.
@@ -94,7 +98,10 @@
         version: state.configuration.version,
       });
       this.#schedule(job, TaskState.Waiting);
-      for (const callback of callbacks) callback();
+      for (const callback of callbacks) callback.onAccepted();
+    }, () => {
+      this.#accepting.delete(job.id);
+      for (const callback of callbacks) callback.onRejected();
     });
   }
 
@@ -147,7 +154,10 @@
     const state = this.#state;
     const accepting = this.#accepting.get(id);
     if (accepting !== undefined) {
-      accepting.callbacks.push(() => this.cancel(id, onCancelled));
+      accepting.callbacks.push({
+        onAccepted: () => this.cancel(id, onCancelled),
+        onRejected: onCancelled,
+      });
       return;
     }
     const job = state.jobs.get(id);
@@ -162,7 +172,8 @@
     this.#cancelling.set(id, callbacks);
     this.#runs.endJob(job, JobState.Cancelled, "cancelled by caller");
     state.changedJobs.delete(job);
-    state.ports.write([createProgressEntry(job)], () => {
+    const entry = createProgressEntry(job, state.limits.jobLimits.maximumValueBytes);
+    state.ports.write([entry], () => {
       job.isOutcomeStored = true;
       this.#cancelling.delete(id);
       for (const callback of callbacks) callback();
@@ -235,7 +246,14 @@
   #addDueOccurrences(job: Job, first: NextOccurrence): void {
     const { state } = first;
     let next = first.occurrence;
-    while (next < job.getOccurrenceCount() && job.getDueAt(next) <= this.#state.timeOfDay) {
+    const isDue = () =>
+      next < job.getOccurrenceCount() && job.getDueAt(next) <= this.#state.timeOfDay;
+    // Further occurrences that are due follow once earlier ones are completed.
+    const isTooLarge = () =>
+      job.occurrences.size > 0 &&
+      (job.occurrences.size + 1) * getTaskCount(job.specification) >
+        this.#state.limits.jobLimits.maximumTasks;
+    while (isDue() && !isTooLarge()) {
       if (!job.occurrences.has(next) && !job.doneOccurrences.has(next)) {
         this.#state.addOccurrence(job, next, state);
       }
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -19,7 +19,7 @@
 import { getNextPace, PaceControl } from "./pace_control.ts";
 import { getHostsNeeded, type PoolLoad } from "./pool_need.ts";
 import { ShareMeter } from "./share_meter.ts";
-import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createListedExecutor, createQueue, JOB_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 
 const STEP = createStepSpecification({ demand: { cpu: 1_000, memory: 100, accelerators: 0 } });
 
@@ -48,6 +48,7 @@
     retentionMilliseconds: 1,
     stopMilliseconds: 900,
     longestLeaseMilliseconds: 10_000,
+    jobLimits: JOB_LIMITS,
     earlierLeaseMilliseconds: 0,
     offRackFactor: 1,
   };
--- a/src/owner/owner_ports.ts
+++ b/src/owner/owner_ports.ts
@@ -183,6 +183,6 @@
   move: (order: MoveOrder) => void;
   /** Writes the status of a wave for operators. */
   writeStatus: (wave: number, isCompleted: boolean) => void;
-  /** Stores entries atomically and calls back when they are stored. */
-  write: (entries: JournalEntry[], onStored: () => void) => void;
+  /** Stores entries atomically, and calls back when they are stored or if they can't be. */
+  write: (entries: JournalEntry[], onStored: () => void, onRejected?: () => void) => void;
 }
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -344,6 +344,7 @@
       getConfiguration: () => this.#configuration!,
       getClaimAge: () => this.#getClaimAge(),
       isStoreUnavailable: () => this.#isStoreUnavailable(),
+      jobLimits: limits.jobLimits,
       log,
     });
     this.#journalEntries = [];
@@ -411,16 +412,19 @@
           this.post({ kind: "poll-answered", order, sentAt, answer })
         );
       },
-      write: (entries, onStored) =>
+      write: (entries, onStored, onRejected) => {
+        const handle = (act: () => void) => {
+          this.#updateContext();
+          act();
+          this.#scheduleFlush();
+        };
         void this.#journal?.post({
           kind: "write",
           entries,
-          onStored: () => {
-            this.#updateContext();
-            onStored();
-            this.#scheduleFlush();
-          },
-        }),
+          onStored: () => handle(onStored),
+          onRejected: onRejected && (() => handle(onRejected)),
+        });
+      },
     };
   }
 
--- a/src/owner/owner_task_test.ts
+++ b/src/owner/owner_task_test.ts
@@ -8,7 +8,7 @@
 import { ElapsedClock } from "../tasks/mod.ts";
 import { OrderOutcome } from "./owner_ports.ts";
 import { OwnerTask } from "./owner_task.ts";
-import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createListedExecutor, createQueue, JOB_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 
 const CONFIGURATION: ConfigurationData = {
   version: 1,
@@ -85,6 +85,7 @@
       retentionMilliseconds: 120_000,
       stopMilliseconds: 400,
       longestLeaseMilliseconds: 10_000,
+      jobLimits: JOB_LIMITS,
       offRackFactor: 2,
     },
     onFenced: () => {},
--- a/src/owner/redelivery_test.ts
+++ b/src/owner/redelivery_test.ts
@@ -4,7 +4,7 @@
 import { type Call, CallKind } from "../front/call.ts";
 import { FrontTask } from "../front/front_task.ts";
 import type { Claim, JournalAppendResult, JournalStore } from "../ownership/ownership_ports.ts";
-import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createListedExecutor, createQueue, JOB_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
 import { OrderOutcome } from "./owner_ports.ts";
@@ -89,6 +89,7 @@
     onHolderEnded: () => {},
     getMaximumConfigurationAge: () => Infinity,
     onAnswered: () => {},
+    jobLimits: JOB_LIMITS,
     clock: ElapsedClock.create(),
     log: () => {},
   });
@@ -125,6 +126,7 @@
         retentionMilliseconds: 120_000,
         stopMilliseconds: 400,
         longestLeaseMilliseconds: 10_000,
+        jobLimits: JOB_LIMITS,
         offRackFactor: 2,
       },
       onFenced: () => {},
--- a/src/ownership/journal_task.ts
+++ b/src/ownership/journal_task.ts
@@ -15,17 +15,21 @@
  * later its loss is detected.
  */
 const MAXIMUM_APPEND_BYTES = 100_000;
+/** The maximum number of keys in the log line of a write. */
+const MAXIMUM_LOGGED_KEYS = 3;
 /** The delay before a failed append is retried, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 60;
 
 interface PendingWrite {
   entries: JournalEntry[];
   onStored: () => void;
+  /** Called if the entries can't be stored, whatever is tried. */
+  onRejected?: (() => void) | undefined;
 }
 
 /** The messages of a `JournalTask`. */
 export type JournalMessage =
-  | { kind: "write"; entries: JournalEntry[]; onStored: () => void }
+  | ({ kind: "write" } & PendingWrite)
   | { kind: "append" }
   | { kind: "appended"; result: JournalAppendResult; sentAt: number };
 
@@ -73,7 +77,7 @@
   protected override receive(message: JournalMessage): void {
     switch (message.kind) {
       case "write":
-        this.#pending.push({ entries: message.entries, onStored: message.onStored });
+        this.#pending.push(message);
         if (!this.#isAppending) this.#startBatch();
         return;
       case "append":
@@ -151,6 +155,8 @@
         log("journal-sequence", { epoch, sequence: this.#sequence, expected: result.expected });
         this.#sequence = result.expected;
         break;
+      case "unstorable":
+        return this.#handleUnstorable(result.reason);
       default:
         if (this.#failures === 0) {
           this.#failingSince = performance.now();
@@ -161,4 +167,24 @@
     }
     setTimeout(() => this.post({ kind: "append" }), RETRY_DELAY_MILLISECONDS);
   }
+
+  /** Finds the write that can't be stored, and drops it, so that the others are not held back. */
+  #handleUnstorable(reason: string): void {
+    const { log, epoch } = this.#options;
+    const [first, ...others] = this.#batch;
+    if (first !== undefined && others.length > 0) {
+      this.#pending.unshift(...others);
+      this.#batch = [first];
+      return this.#append();
+    }
+    this.#batch = [];
+    this.#isAppending = false;
+    log("journal-write-dropped", {
+      epoch,
+      keys: first?.entries.map(({ key }) => key).slice(0, MAXIMUM_LOGGED_KEYS).join(" "),
+      reason,
+    });
+    first?.onRejected?.();
+    if (!this.#isAppending) this.#startBatch();
+  }
 }
--- a/src/ownership/journal_task_test.ts
+++ b/src/ownership/journal_task_test.ts
@@ -76,3 +76,9 @@
   const { appended } = await writeEntries([], 60_000);
   t.snapshot(appended);
 });
+
+// Guards against one write that can't succeed and holds back all others.
+test("a write that can't be stored is dropped, and those beside it are stored", async (t) => {
+  const unstorable = { outcome: "unstorable", reason: "status 400" } as const;
+  t.snapshot(await writeEntries([{ outcome: "done" }, unstorable, unstorable]));
+});
--- a/src/ownership/ownership_ports.ts
+++ b/src/ownership/ownership_ports.ts
@@ -4,13 +4,14 @@
 
 /**
  * The result of an append to the journal; `unanswered` means that there was no valid response, so
- * that the effect is in doubt.
+ * that the effect is in doubt, and `unstorable` that no repetition can succeed.
  */
 export type JournalAppendResult =
   | { outcome: "done" }
   | { outcome: "fenced" }
   | { outcome: "wrong-sequence"; expected: number }
   | { outcome: "refused"; status: number }
+  | { outcome: "unstorable"; reason: string }
   | { outcome: "unanswered"; reason: string };
 
 /** A journal: a keyed topic that one process at a time writes, under its epoch. */
--- a/src/platform/caller_listener.ts
+++ b/src/platform/caller_listener.ts
@@ -31,6 +31,7 @@
   [AnswerOutcome.UnknownQueue]: 404,
   [AnswerOutcome.InvalidKey]: 401,
   [AnswerOutcome.Malformed]: 400,
+  [AnswerOutcome.TooLarge]: 413,
   [AnswerOutcome.Unavailable]: 503,
   [AnswerOutcome.NotOwner]: 503,
   // 504 leaves open whether the call was executed; 503 would state that it was not.
--- a/src/platform/job_decoding.ts
+++ b/src/platform/job_decoding.ts
@@ -2,6 +2,7 @@
 
 import { z } from "zod";
 import type { JobSpecification } from "../fleet/job_specification.ts";
+import { jobSpecificationSchema } from "../fleet/job_specification_schema.ts";
 
 /** The maximum size of a job's `taskSpec`, in bytes. */
 const MAXIMUM_TASK_SPEC_BYTES = 4_000;
@@ -48,7 +49,14 @@
     const issue = parsed.error.issues[0];
     return `${issue?.path.join(".")}: ${issue?.message}`;
   }
-  const { data } = parsed;
+  const specification = createSpecification(parsed.data);
+  const checked = jobSpecificationSchema.safeParse(specification);
+  if (checked.success) return specification;
+  const issue = checked.error.issues[0];
+  return `${issue?.path.join(".")}: ${issue?.message}`;
+}
+
+function createSpecification(data: z.output<typeof jobSchema>): JobSpecification {
   return {
     text: data.taskSpec,
     repeats: data.repeats,
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -3,8 +3,10 @@
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import type { EventLog } from "../events/mod.ts";
+import { JobLimits } from "../fleet/job_limits.ts";
 import { FrontTask } from "../front/front_task.ts";
 import { OwnerListenerTask } from "../front/owner_listener_task.ts";
+import { MAXIMUM_FRAME_BYTES } from "../links/frame.ts";
 import { listen } from "../links/listen.ts";
 import { formatSocketAddress } from "../links/socket_address.ts";
 import { OwnerTask } from "../owner/owner_task.ts";
@@ -70,6 +72,7 @@
   readonly #claimStore: StoreClient;
   readonly #provider: ProviderClient | undefined;
   readonly #adviser: AdviserClient | undefined;
+  readonly #jobLimits: JobLimits;
   readonly #operatorState: OperatorState;
   readonly #front: FrontTask;
   readonly #callerListener: CallerListener;
@@ -105,6 +108,10 @@
     this.#adviser = settings.adviserAddress === undefined
       ? undefined
       : AdviserClient.create(settings.adviserAddress, log);
+    this.#jobLimits = JobLimits.create({
+      storeCallBytes: settings.storeLimits.callBytes,
+      messageBytes: MAXIMUM_FRAME_BYTES,
+    });
     this.#operatorState = OperatorState.create(log);
     this.#metrics = HostMetrics.create(() => this.#getGauges());
     this.#front = this.#createFront();
@@ -232,6 +239,7 @@
           took: Math.round(milliseconds),
         });
       },
+      jobLimits: this.#jobLimits,
       clock: this.#clock,
       log: this.#log,
     });
@@ -326,7 +334,7 @@
     const task = OwnerTask.create({
       epoch,
       previousClaim,
-      journalStore: createJournalStore(this.#store),
+      journalStore: createJournalStore(this.#store, this.#settings.storeLimits),
       executors: executorClient,
       provider: this.#provider,
       askAdvice: async (step, executors) => await this.#adviser?.ask(step, executors),
@@ -341,6 +349,7 @@
       limits: {
         retentionMilliseconds: bounds.retentionMilliseconds,
         stopMilliseconds: bounds.stopMilliseconds,
+        jobLimits: this.#jobLimits,
         longestLeaseMilliseconds: bounds.longestLeaseMilliseconds,
         offRackFactor: bounds.offRackFactor,
       },
--- a/src/platform/platform_host_test.ts
+++ b/src/platform/platform_host_test.ts
@@ -8,6 +8,7 @@
 import type { PlatformSettings } from "./platform_settings.ts";
 import { RunExecutorStandIn } from "./stand_in/run_executor_stand_in.ts";
 import { StoreFault, StoreStandIn } from "./stand_in/store_stand_in.ts";
+import { STORE_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 
 const CONFIGURATION = {
   version: 3,
@@ -89,6 +90,7 @@
     cores: 1,
     linkMegabits: 1_000,
     storeAddress,
+    storeLimits: STORE_LIMITS,
     bounds: {
       graceMilliseconds: 6_000,
       keyWithdrawalMilliseconds: 5_000,
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -24,6 +24,8 @@
   linkMegabits: number;
   /** The address of the platform's store. */
   storeAddress: string;
+  /** The maximum size of a record of the store, and of all records of a call, in bytes. */
+  storeLimits: { recordBytes: number; callBytes: number };
   /** The address of the host provider, if there is one. */
   providerAddress?: string | undefined;
   /** The address of the adviser, if there is one. */
@@ -88,7 +90,11 @@
     upkeepS: z.number().default(2),
   }),
   advice: z.string().nullish(),
-  platform: z.object({ addr: addressSchema }),
+  platform: z.object({
+    addr: addressSchema,
+    recordBytes: z.number().default(262_144),
+    callBytes: z.number().default(2_097_152),
+  }),
   cloud: z.object({ addr: addressSchema }).nullish(),
 });
 
@@ -113,6 +119,7 @@
     cores: data.limits.cpuShare * data.limits.cores,
     linkMegabits: data.limits.linkMbps,
     storeAddress: data.platform.addr,
+    storeLimits: { recordBytes: data.platform.recordBytes, callBytes: data.platform.callBytes },
     providerAddress: data.cloud?.addr,
     adviserAddress: data.advice ?? undefined,
     bounds: {
--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -39,6 +39,7 @@
 import { LivenessChecker } from "./liveness_checker.ts";
 import type { FleetSimulationOptions, SimulationFaults } from "./simulation_options.ts";
 import { SubmissionChecker } from "./submission_checker.ts";
+import { JOB_LIMITS } from "../../stand_ins/fleet_fixtures.ts";
 
 /** The duration of the leases that the owner grants, in milliseconds. */
 const LEASE_MILLISECONDS = 3_000;
@@ -370,6 +371,7 @@
         retentionMilliseconds: 120_000,
         stopMilliseconds: STOP_MILLISECONDS,
         longestLeaseMilliseconds: MAXIMUM_LEASE_MILLISECONDS,
+        jobLimits: JOB_LIMITS,
         offRackFactor: 1.5,
         earlierLeaseMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS,
       },
@@ -396,6 +398,7 @@
       epoch: fence,
       getConfiguration: () => this.#ownerConfigurations.get(fence)!,
       getClaimAge: () => 0,
+      jobLimits: JOB_LIMITS,
       isStoreUnavailable: () => this.#isChosen(this.#faults.unavailableFraction),
       log: (event, fields) =>
         this.#invariantChecker.addViolation("FAULT", `${event}: ${fields?.["reason"]}`),
--- a/src/platform/store_ports.ts
+++ b/src/platform/store_ports.ts
@@ -9,6 +9,7 @@
   EntryStore,
   JournalStore,
 } from "../ownership/ownership_ports.ts";
+import { RecordSplitter } from "./record_splitter.ts";
 import { encodeKeyedRecord, type StoreClient } from "./store_client.ts";
 
 /** The topic of ownership claims. */
@@ -24,18 +25,40 @@
 /** The producer of statuses; all owners share the name, as for the journal. */
 const STATUS_PRODUCER = "fleet-owner";
 
+/** The statuses by which the store refuses a request that it will never carry out. */
+const PERMANENT_STATUSES: ReadonlySet<number> = new Set([400, 413]);
+
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
+/** The limits of the store, in bytes. */
+export interface StoreLimits {
+  /** The maximum size of a record. */
+  recordBytes: number;
+  /** The maximum size of all records of a call. */
+  callBytes: number;
+}
+
 /** Creates the journal of the fleet owner on the store. */
-export function createJournalStore(store: StoreClient): JournalStore {
+export function createJournalStore(store: StoreClient, limits: StoreLimits): JournalStore {
   const partition = { topic: JOURNAL_TOPIC, part: 0 };
+  const splitter = RecordSplitter.create(limits.recordBytes);
+  const append = createAppend(store, JOURNAL_TOPIC, JOURNAL_PRODUCER);
   return {
-    append: createAppend(store, JOURNAL_TOPIC, JOURNAL_PRODUCER),
+    append: async (entries, epoch, sequence) => {
+      const split = splitter.split(entries);
+      const bytes = split.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+      if (bytes > limits.callBytes) {
+        return { outcome: "unstorable", reason: `${bytes} bytes are too many for a call` };
+      }
+      const result = await append(split, epoch, sequence);
+      if (result.outcome === "done") splitter.recordStored(entries);
+      return result;
+    },
     readAll: async () => {
       const newest = await store.readNewest(partition);
       if (newest.outcome !== "done") return undefined;
-      return newest.values.map(({ key, value }) => [key, value]);
+      return splitter.join(newest.values.map(({ key, value }) => [key, value] as const));
     },
   };
 }
@@ -84,6 +107,9 @@
       producer: { name: producer, epoch, sequence },
     });
     if (result.outcome === "wrong-end") return { outcome: "refused", status: 412 };
+    if (result.outcome === "refused" && PERMANENT_STATUSES.has(result.status)) {
+      return { outcome: "unstorable", reason: `status ${result.status}` };
+    }
     return result;
   };
 }
--- a/src/platform/store_ports_test.ts
+++ b/src/platform/store_ports_test.ts
@@ -4,6 +4,7 @@
 import { StoreClient } from "./store_client.ts";
 import { createJournalStore, createStatusStore, createWaveStatusEntry } from "./store_ports.ts";
 import { StoreFault, StoreStandIn } from "./stand_in/store_stand_in.ts";
+import { STORE_LIMITS } from "../stand_ins/fleet_fixtures.ts";
 
 const noLog: EventLog = () => {};
 
@@ -68,7 +69,7 @@
     return StoreFault.None;
   };
   const journal = JournalTask.create({
-    store: createJournalStore(store),
+    store: createJournalStore(store, STORE_LIMITS),
     epoch: 1,
     firstSequence: 1,
     onFenced: () => {},
@@ -113,7 +114,7 @@
       const requestCount = pages.filter((page) => page === after).length;
       return after !== "start" && requestCount <= 2 ? fault : StoreFault.None;
     };
-    const journalStore = createJournalStore(store);
+    const journalStore = createJournalStore(store, STORE_LIMITS);
     let entries: unknown[] | undefined;
     for (let attempt = 1; entries === undefined && attempt <= 5; attempt += 1) {
       pages.length = 0;
--- a/src/stand_ins/fleet_fixtures.ts
+++ b/src/stand_ins/fleet_fixtures.ts
@@ -2,6 +2,16 @@
 
 import type { Queue } from "../fleet/configuration.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
+import { JobLimits } from "../fleet/job_limits.ts";
+
+/** The limits of the store, in bytes. */
+export const STORE_LIMITS = { recordBytes: 262_144, callBytes: 2_097_152 };
+
+/** The limits on jobs that follow from them. */
+export const JOB_LIMITS = JobLimits.create({
+  storeCallBytes: STORE_LIMITS.callBytes,
+  messageBytes: 1_048_576,
+});
 
 /** Creates a public queue, which requires no key, with the given fields overridden. */
 export function createQueue(overrides: Partial<Queue> = {}): Queue {
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -13,6 +13,7 @@
   type StopOrder,
 } from "../owner/owner_ports.ts";
 import { DEFAULT_CAPACITY_POLICY } from "../owner/pool_need.ts";
+import { JOB_LIMITS } from "./fleet_fixtures.ts";
 
 /** The time between two steps, in milliseconds: the owner's tick interval. */
 const STEP_MILLISECONDS = 25;
@@ -83,6 +84,7 @@
       retentionMilliseconds: 1_000,
       stopMilliseconds: 900,
       longestLeaseMilliseconds: 10_000,
+      jobLimits: JOB_LIMITS,
       earlierLeaseMilliseconds: 0,
       offRackFactor: 1,
     },
