Play restarts of executors against hosts in processes of their own

The owner learns of an executor's new life by a report up to a heartbeat before its entry is listed, counted the runs there as lost, and polled nobody until then.

Change: the first piece of a soak of separate processes. HostProcess starts the program of the deploy file; executors restart under their ids and addresses by a seeded schedule and register late; a check reads the runs at the executors.

--- /dev/null
+++ b/src/platform/restarts_in_processes_test.ts
@@ -0,0 +1,150 @@
+import test from "ava";
+import { request } from "undici";
+import { RunEnd } from "../fleet/run.ts";
+import { getRunOptions } from "../tests/run_options.ts";
+import { createRandom } from "./stand_in/fleet_simulation.ts";
+import { HostProcess } from "./stand_in/host_process.ts";
+import { RunExecutorStandIn } from "./stand_in/run_executor_stand_in.ts";
+import { StoreStandIn } from "./stand_in/store_stand_in.ts";
+
+const CONFIGURATION = {
+  version: 1,
+  routes: [{
+    name: "r-1",
+    host: "berths.example",
+    pathPrefix: "/berths/",
+    service: "berthbook",
+    maxAttempts: 4,
+    public: true,
+  }],
+  services: [{ name: "berthbook" }],
+};
+const EXECUTORS = 4;
+const TASKS = 8;
+const JOBS = 16;
+const JOB_INTERVAL_MILLISECONDS = 700;
+const TASK_MILLISECONDS = 300;
+/** The maximum time from a restart to the job after it, in milliseconds. */
+const MAXIMUM_LEAD_MILLISECONDS = 200;
+/** The maximum time until a restarted executor writes its entry, in milliseconds. */
+const MAXIMUM_ENTRY_DELAY_MILLISECONDS = 1_500;
+/** The time after which each job must be completed, in milliseconds: several leases. */
+const COMPLETION_TIMEOUT_MILLISECONDS = 40_000;
+
+const delay = (milliseconds: number) => new Promise((resolve) => setTimeout(resolve, milliseconds));
+
+/** Executors that restart under their ids and addresses, and a check of the runs on them. */
+class RestartingExecutors {
+  /** The tasks that ran on two executors at the same time. */
+  readonly violations: string[] = [];
+  readonly #store: StoreStandIn;
+  readonly #lives = new Map<string, { executor: RunExecutorStandIn; port: number }>();
+  /** The executors on which each task runs. */
+  readonly #running = new Map<string, Set<RunExecutorStandIn>>();
+
+  private constructor(store: StoreStandIn) {
+    this.#store = store;
+  }
+
+  /** Creates executors that register in a store. */
+  static create(store: StoreStandIn): RestartingExecutors {
+    return new RestartingExecutors(store);
+  }
+
+  /** Starts an executor, or its next life, which registers after a delay. */
+  async start(id: string, entryDelayMilliseconds: number): Promise<void> {
+    const executor: RunExecutorStandIn = RunExecutorStandIn.create({
+      id,
+      service: "berthbook",
+      zone: "zl-a",
+      planRun: () => ({ durationMilliseconds: TASK_MILLISECONDS, end: RunEnd.Done }),
+      onStart: (task) => this.#handleStart(task, executor),
+      onEnd: (task) => this.#running.get(task)?.delete(executor),
+    });
+    const entry = await executor.listen(this.#lives.get(id)?.port);
+    this.#lives.set(id, { executor, port: Number(String(entry["addr"]).split(":")[1]) });
+    setTimeout(() => this.#store.put("keyed.servers", id, entry), entryDelayMilliseconds);
+  }
+
+  /** Ends an executor with all of its runs. */
+  crash(id: string): void {
+    const { executor } = this.#lives.get(id)!;
+    executor.close();
+    for (const executors of this.#running.values()) executors.delete(executor);
+  }
+
+  close(): void {
+    for (const { executor } of this.#lives.values()) executor.close();
+  }
+
+  #handleStart(task: string, executor: RunExecutorStandIn): void {
+    const executors = this.#running.get(task) ?? new Set();
+    this.#running.set(task, executors);
+    for (const other of executors) {
+      this.violations.push(`${task} on ${other.id} and ${executor.id}`);
+    }
+    executors.add(executor);
+  }
+}
+
+/** Submits jobs while executors restart, by a schedule that follows from a seed. */
+async function play(seed: number): Promise<{ violations: string[]; completed: number }> {
+  const random = createRandom(seed);
+  const store = StoreStandIn.create();
+  const address = await store.listen();
+  store.put("keyed.op", "config", CONFIGURATION);
+  const executors = RestartingExecutors.create(store);
+  const ids = Array.from({ length: EXECUTORS }, (_, number) => `i-${number}`);
+  for (const id of ids) await executors.start(id, 0);
+  const hosts = [
+    await HostProcess.create({ name: "front-1", store: address }),
+    await HostProcess.create({ name: "front-2", store: address }),
+  ];
+  const call = async (host: number, method: "GET" | "POST", job: string, body?: unknown) => {
+    const response = await request(`${hosts[host]!.callers}/berths/${job}`, {
+      method,
+      headers: { host: "berths.example", "deadline-ms": "3000" },
+      body: body === undefined ? null : JSON.stringify(body),
+    });
+    return { status: response.statusCode, text: await response.body.text() };
+  };
+  await delay(1_000);
+  const jobs: string[] = [];
+  for (let number = 0; number < JOBS; number += 1) {
+    const id = ids[Math.floor(random() * EXECUTORS)]!;
+    const [lead, entryDelay] = [
+      random() * MAXIMUM_LEAD_MILLISECONDS,
+      random() * MAXIMUM_ENTRY_DELAY_MILLISECONDS,
+    ];
+    await delay(JOB_INTERVAL_MILLISECONDS - lead);
+    executors.crash(id);
+    await executors.start(id, entryDelay);
+    await delay(lead);
+    const job = (number + 1).toString(16).padStart(16, "0");
+    const step = { count: TASKS, cpu: 2_000, memMb: 100, estRuntimeMs: TASK_MILLISECONDS };
+    const { status } = await call(number % 2, "POST", job, { taskSpec: "", steps: [step] });
+    if (status === 200) jobs.push(job);
+  }
+  const until = performance.now() + COMPLETION_TIMEOUT_MILLISECONDS;
+  let open = jobs;
+  while (open.length > 0 && performance.now() < until) {
+    await delay(200);
+    const answers = await Promise.all(open.map((job) => call(0, "GET", job)));
+    open = open.filter((_, index) => !answers[index]!.text.includes("completed"));
+  }
+  for (const host of hosts) await host.stop();
+  executors.close();
+  store.close();
+  return { violations: executors.violations, completed: jobs.length - open.length };
+}
+
+// Guards against runs that the next life of an executor has accepted, and that count as lost while
+// nobody polls it: the owner learns of that life from a report long before its entry is listed.
+test("no task runs twice while executors restart under their ids and register late", async (t) => {
+  const { seed, numRuns } = getRunOptions({ seed: 20261205, numRuns: 1 });
+  for (let run = 0; run < numRuns!; run += 1) {
+    const { violations, completed } = await play(seed! + run);
+    t.deepEqual(violations, [], `seed ${seed! + run}`);
+    t.is(completed, JOBS, `seed ${seed! + run}`);
+  }
+});
--- a/src/platform/stand_in/run_executor_stand_in.ts
+++ b/src/platform/stand_in/run_executor_stand_in.ts
@@ -13,6 +13,9 @@
 /** The interval at which a long poll checks for an ended run, in milliseconds. */
 const POLL_CHECK_INTERVAL_MILLISECONDS = 5;
 
+/** The interval at which runs are checked for their ends, in milliseconds. */
+const ADVANCE_INTERVAL_MILLISECONDS = 5;
+
 const REASON_BY_OUTCOME: Readonly<Record<string, string>> = {
   [OrderOutcome.Fenced]: "fence",
   [OrderOutcome.StaleRun]: "old",
@@ -39,6 +42,10 @@
   zone: string;
   /** Plans the course of a run. */
   planRun: (task: string, run: number) => RunPlan;
+  /** Called with the task of each run that starts. */
+  onStart?: (task: string) => void;
+  /** Called with the task of each run that ends. */
+  onEnd?: (task: string) => void;
 }
 
 /** An executor that runs no real tasks: each run lasts for its planned duration. */
@@ -51,6 +58,7 @@
   readonly #server: StandInServer;
   readonly #model: ExecutorModel;
   readonly #born = Date.now();
+  readonly #timer: NodeJS.Timeout;
   #endCount = 0;
 
   private constructor(options: RunExecutorStandInOptions) {
@@ -66,9 +74,20 @@
       stopMilliseconds: 20,
       startupMilliseconds: 20,
       planRun: options.planRun,
-      onStart: (run) => this.starts.push(run.task),
-      onEnd: () => this.#endCount += 1,
+      onStart: (run) => {
+        this.starts.push(run.task);
+        options.onStart?.(run.task);
+      },
+      onEnd: (run) => {
+        this.#endCount += 1;
+        options.onEnd?.(run.task);
+      },
     });
+    this.#timer = setInterval(
+      () => this.#model.advance(performance.now()),
+      ADVANCE_INTERVAL_MILLISECONDS,
+    );
+    this.#timer.unref();
   }
 
   /** Creates an executor. It accepts requests once `listen` is called. */
@@ -76,9 +95,9 @@
     return new RunExecutorStandIn(options);
   }
 
-  /** Listens on a free loopback port and returns the executor's entry for the store. */
-  async listen(): Promise<Record<string, unknown>> {
-    const addr = await this.#server.listen();
+  /** Listens on a loopback port, by default a free one, and returns the entry for the store. */
+  async listen(port = 0): Promise<Record<string, unknown>> {
+    const addr = await this.#server.listen(port);
     const { service, zone } = this.#options;
     return {
       service,
@@ -96,6 +115,7 @@
 
   /** Closes the listening socket and all connections. */
   close(): void {
+    clearInterval(this.#timer);
     this.#server.close();
   }
 
--- a/src/platform/stand_in/stand_in_server.ts
+++ b/src/platform/stand_in/stand_in_server.ts
@@ -25,9 +25,9 @@
     return new StandInServer(handle);
   }
 
-  /** Listens on a free loopback port and returns the address. */
-  listen(): Promise<string> {
-    return listen(this.#server, { host: "127.0.0.1", port: 0 });
+  /** Listens on a loopback port, by default a free one, and returns the address. */
+  listen(port = 0): Promise<string> {
+    return listen(this.#server, { host: "127.0.0.1", port });
   }
 
   /** Closes the listening socket and all connections. */
