Leave runs to the polls that started after an order for their host

Cause: an answer that an order for a host is done counted as the end of its executor with all runs there. The answer may come late or mean an earlier order's effect, and the host was empty when the order was sent, so runs that are there have started since. Their tasks were started elsewhere beside them.

Change: such an answer ends an executor only if nothing runs on it; otherwise polls show what became of it.

Measured: the new test of host_orders_test starts the task a second time on i-2 before the change, and not after it.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -153,7 +153,7 @@
     this.#maintenance = MaintenanceControl.create({
       state: this.#state,
       hosts: this.#hosts,
-      handleExecutorEnded: (executor, reason) => this.#polls.handleExecutorEnded(executor, reason),
+      handleHostOrderDone: (executor, reason) => this.#polls.handleHostOrderDone(executor, reason),
       maintenanceMilliseconds: options.maintenanceMilliseconds,
       stored: options.stored,
     });
@@ -161,7 +161,7 @@
       state: this.#state,
       hosts: this.#hosts,
       maintenance: this.#maintenance,
-      handleExecutorEnded: (executor, reason) => this.#polls.handleExecutorEnded(executor, reason),
+      handleHostOrderDone: (executor, reason) => this.#polls.handleHostOrderDone(executor, reason),
       policy: options.capacityPolicy,
     });
     for (const job of options.jobs) this.#jobs.restore(job);
--- a/src/owner/host_orders_test.ts
+++ b/src/owner/host_orders_test.ts
@@ -122,6 +122,25 @@
   t.deepEqual(starts.map(({ task, executor }) => [task, executor.id]), []);
 });
 
+// Guards against a second run of a task that has started on a host which an earlier order took down.
+test("a late answer to an order for a host ends no run that started there since", (t) => {
+  const [executor, other] = [createEntry("i-1"), createListedExecutor({ id: "i-2", host: "m-2" })];
+  const { owner, starts, advance, reportNoRuns } = orderMaintenance(executor, []);
+  // A list lacks the host, and the executor's entry is lost for a moment.
+  advance(() => owner.setHosts([], 200));
+  advance(() => owner.setExecutors([]));
+  advance(() => owner.setExecutors([executor]));
+  reportNoRuns(executor);
+  owner.submit(SUBMISSION, () => {});
+  for (let step = 0; step < 4; step += 1) advance();
+  advance(() => owner.setExecutors([executor, other]));
+  reportNoRuns(other);
+  const order = { host: "m-1", wave: 1, fence: 1 };
+  advance(() => owner.handleMaintainAnswer(order, HostOrderOutcome.Accepted));
+  for (let step = 0; step < 10; step += 1) advance();
+  t.deepEqual(starts.map(({ executor }) => executor.id), ["i-1"]);
+});
+
 test("a listed executor that never answers does not decide how many hosts a pool has", (t) => {
   const executors = Array.from({ length: 6 }, (_, number) => ({
     ...createEntry(`i-${number}`),
--- a/src/owner/maintenance_control.ts
+++ b/src/owner/maintenance_control.ts
@@ -44,8 +44,8 @@
 export interface MaintenanceControlOptions {
   state: FleetState;
   hosts: HostControl;
-  /** Handles that an executor has ended, since its host is under maintenance. */
-  handleExecutorEnded: (executor: Executor, reason: string) => void;
+  /** Handles that the provider reports the maintenance of an executor's host as ordered. */
+  handleHostOrderDone: (executor: Executor, reason: string) => void;
   /** The expected duration of a host's maintenance, in milliseconds. */
   maintenanceMilliseconds: number;
   /** The journal's entries by key, as earlier owners stored them. */
@@ -113,7 +113,7 @@
     state.log("maintenance-answered", { host: order.host, wave: order.wave, outcome });
     switch (outcome) {
       case HostOrderOutcome.Accepted:
-        this.#handleExecutorEnded(waveHost);
+        this.#handleOrderDone(waveHost);
         return this.#setStage(waveHost, WaveStage.Away);
       case HostOrderOutcome.Rejected:
         // The host was not maintained. Only the lists show whether it is gone.
@@ -414,10 +414,10 @@
     return [...progress.waveHosts.values()].filter((waveHost) => waveHost.stage === stage).length;
   }
 
-  #handleExecutorEnded(waveHost: WaveHost): void {
-    const { state, handleExecutorEnded } = this.#options;
+  #handleOrderDone(waveHost: WaveHost): void {
+    const { state, handleHostOrderDone } = this.#options;
     const executor = state.executors.get(waveHost.executorId);
-    if (executor !== undefined) handleExecutorEnded(executor, "host under maintenance");
+    if (executor !== undefined) handleHostOrderDone(executor, "host under maintenance");
   }
 
   #setStage(waveHost: WaveHost, stage: WaveStage): void {
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -128,6 +128,20 @@
     return next;
   }
 
+  /**
+   * Handles that the provider reports an order for an executor's host as done. The order was sent for
+   * an empty host, and may have been done before: runs that are there now started later, and only
+   * polls show whether they go on.
+   */
+  handleHostOrderDone(executor: Executor, reason: string): void {
+    if (executor.runs.size === 0) return this.handleExecutorEnded(executor, reason);
+    this.#state.log("executor-end-uncertain", {
+      executor: executor.id,
+      reason,
+      runs: executor.runs.size,
+    });
+  }
+
   /** Removes an executor on which nothing runs; it counts as a new one if it is listed again. */
   removeExecutor(executor: Executor, reason: string): void {
     this.#state.executors.delete(executor.id);
--- a/src/owner/pool_size_control.ts
+++ b/src/owner/pool_size_control.ts
@@ -82,8 +82,8 @@
   maintenance: MaintenanceControl;
   /** The policy by which pools are sized. */
   policy: CapacityPolicy;
-  /** Handles that an executor has ended, since its host has left its pool. */
-  handleExecutorEnded: (executor: Executor, reason: string) => void;
+  /** Handles that the provider reports the move of an executor's host as ordered. */
+  handleHostOrderDone: (executor: Executor, reason: string) => void;
 }
 
 /**
@@ -125,7 +125,7 @@
     if (move === undefined || move.stage !== MoveStage.Ordered) return;
     switch (outcome) {
       case HostOrderOutcome.Accepted:
-        this.#handleExecutorEnded(move);
+        this.#handleOrderDone(move);
         move.stage = MoveStage.Arriving;
         move.since = state.now;
         return;
@@ -180,10 +180,10 @@
     });
   }
 
-  #handleExecutorEnded(move: HostMove): void {
-    const { state, handleExecutorEnded } = this.#options;
+  #handleOrderDone(move: HostMove): void {
+    const { state, handleHostOrderDone } = this.#options;
     const executor = state.executors.get(move.executorId);
-    if (executor !== undefined) handleExecutorEnded(executor, "host moved to another pool");
+    if (executor !== undefined) handleHostOrderDone(executor, "host moved to another pool");
   }
 
   #finish(move: HostMove): void {
