--- a/src/platform/restarts_in_processes_test.ts
+++ b/src/platform/restarts_in_processes_test.ts
@@ -31,6 +31,11 @@
 /** The time after which each job must be completed, in milliseconds: several leases. */
 const COMPLETION_TIMEOUT_MILLISECONDS = 40_000;
 
+/** How often a caller submits a job. */
+const MAXIMUM_ATTEMPTS = 10;
+/** The delay before a caller submits a job again, in milliseconds. */
+const RETRY_DELAY_MILLISECONDS = 300;
+
 const delay = (milliseconds: number) => new Promise((resolve) => setTimeout(resolve, milliseconds));
 
 /** Executors that restart under their ids and addresses, and a check of the runs on them. */
@@ -117,6 +122,15 @@
     });
     return { status: response.statusCode, text: await response.body.text() };
   };
+  // As callers do, repeats a submission that is in doubt or was refused for now.
+  const submit = async (host: number, job: string, body: unknown) => {
+    let answer = await call(host, "POST", job, body);
+    for (let attempt = 2; attempt <= MAXIMUM_ATTEMPTS && answer.status >= 500; attempt += 1) {
+      await delay(RETRY_DELAY_MILLISECONDS);
+      answer = await call((host + attempt) % 2, "POST", job, body);
+    }
+    return answer;
+  };
   await delay(1_000);
   const jobs: string[] = [];
   const notAccepted: string[] = [];
@@ -132,9 +146,9 @@
     await delay(lead);
     const job = (number + 1).toString(16).padStart(16, "0");
     const step = { count: TASKS, cpu: 2_000, memMb: 100, estRuntimeMs: TASK_MILLISECONDS };
-    const { status, text } = await call(number % 2, "POST", job, { taskSpec: "", steps: [step] });
-    if (status === 200) jobs.push(job);
-    else notAccepted.push(`${job}: ${status} ${text}`);
+    const answer = await submit(number % 2, job, { taskSpec: "", steps: [step] });
+    if (answer.status === 200) jobs.push(job);
+    else notAccepted.push(`${job}: ${answer.status} ${answer.text}`);
   }
   const until = performance.now() + COMPLETION_TIMEOUT_MILLISECONDS;
   let open = jobs;
