--- a/src/owner/hand_over_lease_test.ts
+++ b/src/owner/hand_over_lease_test.ts
@@ -11,7 +11,7 @@
 import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
 import { OrderOutcome } from "./owner_ports.ts";
-import { type ExecutorPort, OwnerTask } from "./owner_task.ts";
+import { type ExecutorPort, OwnerTask, type OwnerTaskOptions } from "./owner_task.ts";
 
 const CONFIGURATION = Configuration.create({
   version: 1,
@@ -41,6 +41,34 @@
 /** How long an order to an executor that is cut off stays unanswered, in milliseconds. */
 const ORDER_TIMEOUT_MILLISECONDS = 700;
 
+type OwnerParts = Pick<
+  OwnerTaskOptions,
+  "epoch" | "previousClaim" | "journalStore" | "executors" | "claimClock"
+>;
+
+/** Creates an owner without an adviser, a provider and logs. */
+function createOwner(parts: OwnerParts): OwnerTask {
+  return OwnerTask.create({
+    askAdvice: () => Promise.resolve(undefined),
+    writeStatus: () => {},
+    providerLeaseMilliseconds: 3_000,
+    maintenanceMilliseconds: 2_000,
+    limits: {
+      retentionMilliseconds: 120_000,
+      stopMilliseconds: 400,
+      longestLeaseMilliseconds: 10_000,
+      jobLimits: JOB_LIMITS,
+      offRackFactor: 2,
+    },
+    onFenced: () => {},
+    onMeasured: () => {},
+    getMonotonicTime: () => performance.now(),
+    getWallClockTime: () => Date.now(),
+    log: () => {},
+    ...parts,
+  });
+}
+
 /** Executors and a journal in memory, with owners that use them in turn. */
 class HandOver {
   readonly clock = FakeTimers.install();
@@ -78,28 +106,12 @@
 
   /** Starts an owner, whose claim is confirmed from then on while the store is up. */
   async open(epoch: number, previousClaim: Claim | undefined): Promise<OwnerTask> {
-    const owner = OwnerTask.create({
+    const owner = createOwner({
       epoch,
       previousClaim,
       journalStore: this.#createJournalStore(),
       executors: this.#createExecutorPort(),
-      askAdvice: () => Promise.resolve(undefined),
-      writeStatus: () => {},
-      providerLeaseMilliseconds: 3_000,
-      maintenanceMilliseconds: 2_000,
-      limits: {
-        retentionMilliseconds: 120_000,
-        stopMilliseconds: 400,
-        longestLeaseMilliseconds: 10_000,
-        jobLimits: JOB_LIMITS,
-        offRackFactor: 2,
-      },
-      onFenced: () => {},
-      onMeasured: () => {},
       claimClock: this.#claimClock,
-      getMonotonicTime: () => performance.now(),
-      getWallClockTime: () => Date.now(),
-      log: () => {},
     });
     this.#owners.push(owner);
     setInterval(() => {
@@ -220,7 +232,7 @@
 // Guards against a released claim without a figure after a take-over that was not completed.
 test.serial("an owner that stops before its take-over is complete passes on the lease it was told", async (t) => {
   const world = HandOver.create();
-  const owner = OwnerTask.create({
+  const owner = createOwner({
     epoch: 2,
     previousClaim: { ...CLAIM, isReleased: true, leaseMilliseconds: 4_200 },
     journalStore: {
@@ -228,23 +240,7 @@
       readAll: () => new Promise(() => {}),
     },
     executors: {} as ExecutorPort,
-    askAdvice: () => Promise.resolve(undefined),
-    writeStatus: () => {},
-    providerLeaseMilliseconds: 3_000,
-    maintenanceMilliseconds: 2_000,
-    limits: {
-      retentionMilliseconds: 120_000,
-      stopMilliseconds: 400,
-      longestLeaseMilliseconds: 10_000,
-      jobLimits: JOB_LIMITS,
-      offRackFactor: 2,
-    },
-    onFenced: () => {},
-    onMeasured: () => {},
     claimClock: ElapsedClock.create(),
-    getMonotonicTime: () => performance.now(),
-    getWallClockTime: () => Date.now(),
-    log: () => {},
   });
   const released = await world.handOver(owner, { ...CLAIM, epoch: 2 });
   world.stop();
