--- /dev/null
+++ b/review/stand_ins_2/cut_proxy.mjs
@@ -0,0 +1,69 @@
+/**
+ * A TCP proxy on loopback that can be cut, so that it passes on nothing and closes nothing, or reset all
+ * connections.
+ */
+
+import { connect, createServer } from "node:net";
+
+/** Passes connections on to a port of loopback. */
+export class CutProxy {
+  #server;
+  #pairs = new Set();
+  #isCut = false;
+  #isResetting = false;
+
+  constructor(targetPort) {
+    this.#server = createServer({ pauseOnConnect: false }, (client) => {
+      client.on("error", () => {});
+      if (this.#isResetting) return void client.resetAndDestroy();
+      const target = connect({ host: "127.0.0.1", port: targetPort, noDelay: true });
+      const pair = [client, target];
+      this.#pairs.add(pair);
+      if (this.#isCut) { for (const socket of pair) socket.pause(); }
+      client.on("data", (bytes) => target.write(bytes));
+      target.on("data", (bytes) => client.write(bytes));
+      const close = () => {
+        this.#pairs.delete(pair);
+        // Behind a cut, the other side doesn't learn that a connection was closed.
+        if (!this.#isCut) { for (const socket of pair) socket.destroy(); }
+      };
+      for (const socket of pair) {
+        socket.on("error", () => {});
+        socket.on("close", close);
+      }
+    });
+  }
+
+  /** Listens on a free loopback port, and returns the address. */
+  async listen() {
+    await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    return `127.0.0.1:${this.#server.address().port}`;
+  }
+
+  /** Passes on nothing from now on; bytes are held. */
+  cut() {
+    this.#isCut = true;
+    for (const pair of this.#pairs) for (const socket of pair) socket.pause();
+  }
+
+  /** Resets all connections, and each new one. */
+  reset() {
+    this.#isResetting = true;
+    for (const [client, target] of this.#pairs) {
+      client.resetAndDestroy();
+      target.destroy();
+    }
+  }
+
+  /** Passes on the bytes that were held, and all later ones. */
+  heal() {
+    this.#isCut = false;
+    this.#isResetting = false;
+    for (const pair of this.#pairs) for (const socket of pair) socket.resume();
+  }
+
+  close() {
+    this.#server.close();
+    for (const pair of this.#pairs) for (const socket of pair) socket.destroy();
+  }
+}
