Show that a gang is started again from different checkpoints

Each member of a gang is started with the checkpoint that the owner last heard of for its own task. After the loss of one worker these differ, which the protocol excludes, and the members end alone, again and again.

--- a/review/stand_ins_2/worker.mjs
+++ b/review/stand_ins_2/worker.mjs
@@ -27,21 +27,11 @@
   #timer;
 
   /**
-   * Creates a worker. `getDuration(task)` plans a run in milliseconds; `onStart` and `onEnd` get
-   * each run with the worker.
+   * Creates a worker. `getDuration(task)` plans a run in milliseconds, or a `gangFloor` decides about
+   * all runs; `onStart` and `onEnd` get each run with the worker.
    */
-  constructor({ id, service, zone, labels, cpu, stopMilliseconds, getDuration, onStart, onEnd }) {
-    this.#options = {
-      id,
-      service,
-      zone,
-      labels,
-      cpu,
-      stopMilliseconds,
-      getDuration,
-      onStart,
-      onEnd,
-    };
+  constructor(options) {
+    this.#options = options;
     this.#server = createServer((request, response) => void this.#handle(request, response));
     this.#timer = setInterval(() => this.#advance(), CHECK_INTERVAL_MILLISECONDS);
   }
@@ -81,6 +71,13 @@
     this.#server.closeAllConnections();
   }
 
+  /** Ends at once with all that runs here, and says nothing of it. */
+  crash() {
+    this.close();
+    for (const run of this.running.values()) this.#options.gangFloor?.leave(run, "crashed");
+    this.running.clear();
+  }
+
   #getClock() {
     return Math.floor(performance.now() - this.#startedAt);
   }
@@ -92,14 +89,23 @@
       if (isLapsed) this.#end(run, "lapsed");
       else if (now >= run.endsAt) this.#end(run, "done");
       else if (now >= run.stopsAt) this.#end(run, "stopped");
+      else {
+        const how = this.#options.gangFloor?.getEnd(run);
+        if (how !== undefined) this.#end(run, how);
+      }
     }
   }
 
+  #getCheckpoint(run) {
+    return this.#options.gangFloor?.getCheckpoint(run) ?? "";
+  }
+
   #end(run, how) {
     this.running.delete(run.task);
     this.#recordHighest(run.task, run.run);
     this.#lastEnd += 1;
-    this.#ends.push([this.#lastEnd, run.task, run.run, how, ""]);
+    this.#ends.push([this.#lastEnd, run.task, run.run, how, this.#getCheckpoint(run)]);
+    this.#options.gangFloor?.leave(run, how);
     this.#options.onEnd(this, run, how);
     for (const wake of [...this.#waiting]) wake();
   }
@@ -146,9 +152,19 @@
     const highest = this.#highestRuns.get(order.task) ?? 0;
     if (existing !== undefined || order.run <= highest) return send(409, { reason: "old" });
     const startedAt = performance.now();
-    const endsAt = startedAt + this.#options.getDuration(order.task);
-    const run = { task: order.task, run: order.run, startedAt, endsAt, stopsAt: Infinity };
+    const { gangFloor, getDuration } = this.#options;
+    const endsAt = gangFloor === undefined ? startedAt + getDuration(order.task) : Infinity;
+    const checkpoint = order.lastCheckpoint ?? "";
+    const run = {
+      task: order.task,
+      run: order.run,
+      startedAt,
+      endsAt,
+      stopsAt: Infinity,
+      checkpoint,
+    };
     this.running.set(order.task, run);
+    gangFloor?.join(run);
     this.#options.onStart(this, run, order);
     send(200, {});
   }
@@ -179,9 +195,10 @@
     }
     const now = performance.now();
     send(200, {
-      running: [...this.running.values()].map(({ task, run, startedAt, endsAt }) => {
+      running: [...this.running.values()].map((run) => {
+        const { startedAt, endsAt } = run;
         const percent = Math.min(99, Math.floor(100 * (now - startedAt) / (endsAt - startedAt)));
-        return [task, run, "", percent, 0];
+        return [run.task, run.run, this.#getCheckpoint(run), percent, 0];
       }),
       ended: this.#ends.slice(0, MAXIMUM_LISTED_ENDS),
     });
--- a/review/stand_ins_2/world.mjs
+++ b/review/stand_ins_2/world.mjs
@@ -17,6 +17,8 @@
 
 const ROOT = fileURLToPath(new URL("../..", import.meta.url));
 const READY_TIMEOUT_MILLISECONDS = 30_000;
+/** The interval of the workers' heartbeats in the sites, in milliseconds. */
+const HEARTBEAT_MILLISECONDS = 1_500;
 /** How long after its exit a process is started again, in milliseconds. */
 const RESTART_DELAY_MILLISECONDS = 300;
 
@@ -71,7 +73,7 @@
   #process;
   #isEnded = false;
 
-  constructor(world, { name, ip, ports, storeProxy, storeAddress }) {
+  constructor(world, { name, ip, ports, storeProxy, storeAddress, bounds }) {
     this.#world = world;
     this.#storeProxy = storeProxy;
     this.name = name;
@@ -92,7 +94,7 @@
       seeds: [],
       bootstrap: true,
       limits: { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000 },
-      bounds: BOUNDS,
+      bounds,
       platform: { addr: storeAddress, recordBytes: 262_144, callBytes: 2_097_152 },
     };
     // JSON is a subset of YAML.
@@ -218,6 +220,7 @@
   hosts = [];
   workers = new Map();
   #proxies = new Map();
+  #timers = [];
   #record = [];
   #startedAt = performance.now();
   #store = StoreStandIn.create();
@@ -246,7 +249,7 @@
   }
 
   /** Starts entry hosts, each on a loopback address of its own, and waits until they are ready. */
-  async startHosts(count) {
+  async startHosts(count, bounds = BOUNDS) {
     const net = `127.${randomInt(10, 250)}.${randomInt(1, 250)}`;
     for (let number = 1; number <= count; number += 1) {
       const ip = `${net}.${number}`;
@@ -255,7 +258,7 @@
       const storeAddress = await storeProxy.listen();
       const name = `front-zl-a-${number}`;
       this.#proxies.set(name, storeProxy);
-      const host = new EntryHost(this, { name, ip, ports, storeProxy, storeAddress });
+      const host = new EntryHost(this, { name, ip, ports, storeProxy, storeAddress, bounds });
       this.hosts.push(host);
       host.start();
     }
@@ -274,6 +277,17 @@
     return worker;
   }
 
+  /** Ends a worker for good; its entry is removed after three heartbeat intervals of silence. */
+  lose(id) {
+    this.workers.get(id).crash();
+    this.note(`${id} is lost for good`);
+    const remove = () => {
+      this.note(`the entry of ${id} is removed`);
+      this.#store.put("keyed.servers", id, undefined);
+    };
+    this.#timers.push(setTimeout(remove, 3 * HEARTBEAT_MILLISECONDS));
+  }
+
   cut(id) {
     this.#proxies.get(id).cut();
     this.note(`${id} is cut off and runs on`);
@@ -321,6 +335,7 @@
   }
 
   async close() {
+    for (const timer of this.#timers) clearTimeout(timer);
     for (const host of this.hosts) await host.end();
     for (const worker of this.workers.values()) worker.close();
     for (const proxy of this.#proxies.values()) proxy.close();
@@ -348,6 +363,13 @@
  */
 export async function runCase(recordPath, play) {
   const world = await World.create();
+  process.once("SIGTERM", () => {
+    world.note("the case was stopped");
+    void world.close().finally(() => {
+      world.writeRecord(recordPath);
+      process.exit(2);
+    });
+  });
   let code = 2;
   try {
     const broken = await play(world, process.env.TROUBLE !== "0");
