Keep the cases inside the site's doses and its latency

One of six workers is cut off in the case of the ceiling, as the site's largest share says. Workers in other zones answer 1.4 ms later each way.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -9,8 +9,6 @@
 const PATH = `/sweeps/${JOB}`;
 const KEY = "key-of-mine-office";
 const HOSTS = 3;
-const OLD_WORKERS = 6;
-const NEW_WORKERS = 2;
 const TASK_MILLISECONDS = 40_000;
 /** The pause between two stops: the site's day trouble-2 has 2 s. */
 const GAP_MILLISECONDS = 2_000;
@@ -48,10 +46,10 @@
   const onEnd = (worker, { task, run }, how) =>
     world.note(`${worker.id} ends a task`, { task, run, how });
   const common = { cpu: 32_000, getDuration: () => TASK_MILLISECONDS, onStart, onEnd };
-  for (let number = 1; number <= OLD_WORKERS; number += 1) {
-    await world.startWorker({ id: `w-berthbook-${number}`, service: "berthbook", ...common });
+  for (const [number, zone] of ["zl-a", "zl-a", "zl-b", "zl-b", "zl-c", "zl-d"].entries()) {
+    await world.startWorker({ id: `w-berthbook-${number}`, service: "berthbook", zone, ...common });
   }
-  for (let number = 1; number <= NEW_WORKERS; number += 1) {
+  for (const number of [0, 1]) {
     await world.startWorker({ id: `w-anchorline-${number}`, service: "anchorline", ...common });
   }
   world.publish(createConfiguration(1, "berthbook"));
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -6,6 +6,8 @@
 import { delay, runCase, waitFor } from "../stand_ins_2/world.mjs";
 
 const KEY = "key-of-mine-office";
+/** One of six workers is cut off: a share of 0.17, the site's largest. */
+const WORKERS = 6;
 const CEILING = 8_000;
 const TASK_CPU = 1_000;
 const QUOTA_OVERAGE = 0.1;
@@ -41,30 +43,25 @@
   };
   const onEnd = (worker, { task, run }, how) =>
     world.note(`${worker.id} ends a task`, { task, run, how, tenantCpu: getUsage() });
-  const common = {
-    service: "berthbook",
-    cpu: 32_000,
-    getDuration: () => 20_000,
-    onStart,
-    onEnd,
-  };
-  const first = await world.startWorker({ id: "w-1", ...common });
-  const second = await world.startWorker({ id: "w-2", ...common });
+  const common = { service: "berthbook", cpu: 32_000, getDuration: () => 20_000, onStart, onEnd };
+  const first = await world.startWorker({ id: "w-1", labels: ["b", "r1-1"], ...common });
+  for (let number = 2; number <= WORKERS; number += 1) {
+    await world.startWorker({ id: `w-${number}`, labels: ["a", "r1-1"], ...common });
+  }
   world.publish(CONFIGURATION);
   await world.startHosts(3);
-  const body = {
-    taskSpec: "sweep the berths",
-    steps: [{ count: 8, cpu: TASK_CPU, memMb: 1_000, estRuntimeMs: 20_000, antiAffinity: 4 }],
-  };
+  const step = { count: 8, cpu: TASK_CPU, memMb: 1_000, estRuntimeMs: 20_000 };
+  const body = { taskSpec: "sweep the berths", steps: [{ ...step, constraints: "b" }] };
   await world.callUntilDone("POST", FIRST, { key: KEY, body });
-  await waitFor("the first job runs", () => first.running.size === 4 && second.running.size === 4);
+  await waitFor("the first job runs", () => first.running.size === step.count);
   await delay(1_500);
   const owner = await world.findOwner();
   if (isTrouble) world.cut(first.id);
   await delay(100);
   await world.callUntilDone("DELETE", FIRST, { key: KEY });
   owner.signal("SIGTERM");
-  const next = { ...body, steps: [{ ...body.steps[0], antiAffinity: undefined }] };
+  await delay(200);
+  const next = { ...body, steps: [step] };
   await world.callUntilDone("POST", SECOND, { key: KEY, body: next });
   await delay(8_000);
   if (isTrouble) world.heal(first.id);
--- a/review/stand_ins_2/cut_proxy.mjs
+++ b/review/stand_ins_2/cut_proxy.mjs
@@ -1,6 +1,6 @@
 /**
- * A TCP proxy on loopback that can be cut, so that it passes on nothing and closes nothing, or reset all
- * connections.
+ * A TCP proxy on loopback with the latency of a link, which can be cut, so that it passes on nothing and
+ * closes nothing, or reset all connections.
  */
 
 import { connect, createServer } from "node:net";
@@ -8,20 +8,23 @@
 /** Passes connections on to a port of loopback. */
 export class CutProxy {
   #server;
+  #latencyMilliseconds;
   #pairs = new Set();
   #isCut = false;
   #isResetting = false;
 
-  constructor(targetPort) {
-    this.#server = createServer({ pauseOnConnect: false }, (client) => {
+  /** Creates a proxy; the latency is one way. */
+  constructor(targetPort, latencyMilliseconds = 0) {
+    this.#latencyMilliseconds = latencyMilliseconds;
+    this.#server = createServer({ noDelay: true }, (client) => {
       client.on("error", () => {});
       if (this.#isResetting) return void client.resetAndDestroy();
       const target = connect({ host: "127.0.0.1", port: targetPort, noDelay: true });
       const pair = [client, target];
       this.#pairs.add(pair);
       if (this.#isCut) { for (const socket of pair) socket.pause(); }
-      client.on("data", (bytes) => target.write(bytes));
-      target.on("data", (bytes) => client.write(bytes));
+      this.#pass(client, target);
+      this.#pass(target, client);
       const close = () => {
         this.#pairs.delete(pair);
         // Behind a cut, the other side doesn't learn that a connection was closed.
@@ -29,7 +32,7 @@
       };
       for (const socket of pair) {
         socket.on("error", () => {});
-        socket.on("close", close);
+        socket.on("close", () => this.#defer(close));
       }
     });
   }
@@ -66,4 +69,16 @@
     this.#server.close();
     for (const pair of this.#pairs) for (const socket of pair) socket.destroy();
   }
+
+  #pass(from, to) {
+    from.on("data", (bytes) =>
+      this.#defer(() => {
+        if (to.writable) to.write(bytes);
+      }));
+  }
+
+  #defer(act) {
+    if (this.#latencyMilliseconds === 0) act();
+    else setTimeout(act, this.#latencyMilliseconds);
+  }
 }
--- a/review/stand_ins_2/worker.mjs
+++ b/review/stand_ins_2/worker.mjs
@@ -40,6 +40,10 @@
     return this.#options.id;
   }
 
+  get zone() {
+    return this.#options.zone;
+  }
+
   /** Listens on a free loopback port, and returns it. */
   async listen() {
     await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
--- a/review/stand_ins_2/world.mjs
+++ b/review/stand_ins_2/world.mjs
@@ -19,6 +19,8 @@
 const READY_TIMEOUT_MILLISECONDS = 30_000;
 /** The interval of the workers' heartbeats in the sites, in milliseconds. */
 const HEARTBEAT_MILLISECONDS = 1_500;
+/** The latency between zones in the site mbl-richards, one way, in milliseconds; all hosts are in zl-a. */
+const ZONE_LATENCY_MILLISECONDS = 1.4;
 /** How long after its exit a process is started again, in milliseconds. */
 const RESTART_DELAY_MILLISECONDS = 300;
 
@@ -88,7 +90,7 @@
       ip,
       zone: "zl-a",
       region: "zululand",
-      zones: { "zl-a": "zululand" },
+      zones: { "zl-a": "zululand", "zl-b": "zululand", "zl-c": "zululand", "zl-d": "zululand" },
       listen: { front: `${ip}:${ports[0]}`, ready: `${ip}:${ports[1]}` },
       portRange: [7010, 7015],
       seeds: [],
@@ -269,7 +271,8 @@
   /** Starts a worker behind a proxy, and publishes its entry. */
   async startWorker(options) {
     const worker = new Worker({ stopMilliseconds: 100, zone: "zl-a", labels: ["a"], ...options });
-    const proxy = new CutProxy(await worker.listen());
+    const isFar = worker.zone !== "zl-a";
+    const proxy = new CutProxy(await worker.listen(), isFar ? ZONE_LATENCY_MILLISECONDS : 0);
     const entry = worker.createEntry(await proxy.listen());
     this.workers.set(worker.id, worker);
     this.#proxies.set(worker.id, proxy);
