--- a/review/stand_ins_2/world.mjs
+++ b/review/stand_ins_2/world.mjs
@@ -197,7 +197,7 @@
 }
 
 /** Sends a request over a connection of its own; rejects if it is not answered in time. */
-export function send(address, { method = "GET", path, headers = {}, body }, timeout = 3_000) {
+export function send(address, { method = "GET", path, headers = {}, body, text }, timeout = 3_000) {
   return new Promise((resolve, reject) => {
     const outgoing = request({ ...address, method, path, headers, agent: false }, (response) => {
       const chunks = [];
@@ -213,7 +213,7 @@
       clearTimeout(timer);
       reject(error);
     });
-    outgoing.end(body === undefined ? undefined : JSON.stringify(body));
+    outgoing.end(text ?? (body === undefined ? undefined : JSON.stringify(body)));
   });
 }
 
