Show that a hand-over leaves out the lease of a restarted worker

A worker restarts under its id, takes a start with a deadline of its earlier clock, and answers nothing. The owner that is stopped states the leases without that one, and the next owner starts the task elsewhere.

--- a/review/stand_ins_2/cut_proxy.mjs
+++ b/review/stand_ins_2/cut_proxy.mjs
@@ -8,6 +8,7 @@
 /** Passes connections on to a port of loopback. */
 export class CutProxy {
   #server;
+  #targetPort;
   #latencyMilliseconds;
   #pairs = new Set();
   #isCut = false;
@@ -15,11 +16,12 @@
 
   /** Creates a proxy; the latency is one way. */
   constructor(targetPort, latencyMilliseconds = 0) {
+    this.#targetPort = targetPort;
     this.#latencyMilliseconds = latencyMilliseconds;
     this.#server = createServer({ noDelay: true }, (client) => {
       client.on("error", () => {});
       if (this.#isResetting) return void client.resetAndDestroy();
-      const target = connect({ host: "127.0.0.1", port: targetPort, noDelay: true });
+      const target = connect({ host: "127.0.0.1", port: this.#targetPort, noDelay: true });
       const pair = [client, target];
       this.#pairs.add(pair);
       if (this.#isCut) { for (const socket of pair) socket.pause(); }
@@ -40,9 +42,18 @@
   /** Listens on a free loopback port, and returns the address. */
   async listen() {
     await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    return this.address;
+  }
+
+  get address() {
     return `127.0.0.1:${this.#server.address().port}`;
   }
 
+  /** Passes new connections on to another port. */
+  setTarget(port) {
+    this.#targetPort = port;
+  }
+
   /** Passes on nothing from now on; bytes are held. */
   cut() {
     this.#isCut = true;
--- a/review/stand_ins_2/worker.mjs
+++ b/review/stand_ins_2/worker.mjs
@@ -14,6 +14,8 @@
 export class Worker {
   /** The runs by task: { task, run, startedAt, endsAt, stopsAt }. */
   running = new Map();
+  /** Whether it carries out what it is told, and answers nothing. */
+  isMute = false;
   #options;
   #startedAt = performance.now();
   #born = Date.now();
@@ -27,8 +29,8 @@
   #timer;
 
   /**
-   * Creates a worker. `getDuration(task)` plans a run in milliseconds, or a `gangFloor` decides about
-   * all runs; `onStart` and `onEnd` get each run with the worker.
+   * Creates a worker. `getDuration(task)` plans a run in milliseconds; `onStart` and `onEnd` get
+   * each run with the worker.
    */
   constructor(options) {
     this.#options = options;
@@ -69,6 +71,11 @@
     };
   }
 
+  /** Creates the next incarnation under the same id, which knows nothing of this one. */
+  createNext() {
+    return new Worker(this.#options);
+  }
+
   close() {
     clearInterval(this.#timer);
     this.#server.close();
@@ -78,7 +85,6 @@
   /** Ends at once with all that runs here, and says nothing of it. */
   crash() {
     this.close();
-    for (const run of this.running.values()) this.#options.gangFloor?.leave(run, "crashed");
     this.running.clear();
   }
 
@@ -93,23 +99,14 @@
       if (isLapsed) this.#end(run, "lapsed");
       else if (now >= run.endsAt) this.#end(run, "done");
       else if (now >= run.stopsAt) this.#end(run, "stopped");
-      else {
-        const how = this.#options.gangFloor?.getEnd(run);
-        if (how !== undefined) this.#end(run, how);
-      }
     }
   }
 
-  #getCheckpoint(run) {
-    return this.#options.gangFloor?.getCheckpoint(run) ?? "";
-  }
-
   #end(run, how) {
     this.running.delete(run.task);
     this.#recordHighest(run.task, run.run);
     this.#lastEnd += 1;
-    this.#ends.push([this.#lastEnd, run.task, run.run, how, this.#getCheckpoint(run)]);
-    this.#options.gangFloor?.leave(run, how);
+    this.#ends.push([this.#lastEnd, run.task, run.run, how, ""]);
     this.#options.onEnd(this, run, how);
     for (const wake of [...this.#waiting]) wake();
   }
@@ -127,6 +124,7 @@
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
     const send = (status, body) => {
+      if (this.isMute) return;
       response.writeHead(status, { "content-type": "application/json" });
       response.end(JSON.stringify({ ...body, clockMs: this.#getClock(), born: this.#born }));
     };
@@ -156,19 +154,9 @@
     const highest = this.#highestRuns.get(order.task) ?? 0;
     if (existing !== undefined || order.run <= highest) return send(409, { reason: "old" });
     const startedAt = performance.now();
-    const { gangFloor, getDuration } = this.#options;
-    const endsAt = gangFloor === undefined ? startedAt + getDuration(order.task) : Infinity;
-    const checkpoint = order.lastCheckpoint ?? "";
-    const run = {
-      task: order.task,
-      run: order.run,
-      startedAt,
-      endsAt,
-      stopsAt: Infinity,
-      checkpoint,
-    };
+    const endsAt = startedAt + this.#options.getDuration(order.task);
+    const run = { task: order.task, run: order.run, startedAt, endsAt, stopsAt: Infinity };
     this.running.set(order.task, run);
-    gangFloor?.join(run);
     this.#options.onStart(this, run, order);
     send(200, {});
   }
@@ -201,8 +189,10 @@
     send(200, {
       running: [...this.running.values()].map((run) => {
         const { startedAt, endsAt } = run;
-        const percent = Math.min(99, Math.floor(100 * (now - startedAt) / (endsAt - startedAt)));
-        return [run.task, run.run, this.#getCheckpoint(run), percent, 0];
+        const percent = endsAt === Infinity
+          ? 100
+          : Math.min(99, Math.floor(100 * (now - startedAt) / (endsAt - startedAt)));
+        return [run.task, run.run, "", percent, 0];
       }),
       ended: this.#ends.slice(0, MAXIMUM_LISTED_ENDS),
     });
--- a/review/stand_ins_2/world.mjs
+++ b/review/stand_ins_2/world.mjs
@@ -17,6 +17,8 @@
 
 const ROOT = fileURLToPath(new URL("../..", import.meta.url));
 const READY_TIMEOUT_MILLISECONDS = 30_000;
+/** How long after a crash a worker is back, in milliseconds. */
+const WORKER_RESTART_MILLISECONDS = 150;
 /** The interval of the workers' heartbeats in the sites, in milliseconds. */
 const HEARTBEAT_MILLISECONDS = 1_500;
 /** The latency between zones in the site mbl-richards, one way, in milliseconds; all hosts are in zl-a. */
@@ -280,15 +282,31 @@
     return worker;
   }
 
-  /** Ends a worker for good; its entry is removed after three heartbeat intervals of silence. */
-  lose(id) {
-    this.workers.get(id).crash();
-    this.note(`${id} is lost for good`);
-    const remove = () => {
-      this.note(`the entry of ${id} is removed`);
-      this.#store.put("keyed.servers", id, undefined);
+  /**
+   * Has a worker crash and start again under its id, mute for a while if it is told so. It writes its
+   * entry with its first heartbeat.
+   */
+  async restartWorker(id, muteMilliseconds) {
+    const previous = this.workers.get(id);
+    previous.crash();
+    this.note(`${id} has crashed`);
+    await delay(WORKER_RESTART_MILLISECONDS);
+    const worker = previous.createNext();
+    worker.isMute = muteMilliseconds > 0;
+    const proxy = this.#proxies.get(id);
+    proxy.setTarget(await worker.listen());
+    this.workers.set(id, worker);
+    this.note(`${id} is back under its id`, { isMute: worker.isMute });
+    const answer = () => {
+      worker.isMute = false;
+      this.note(`${id} answers again`);
     };
-    this.#timers.push(setTimeout(remove, 3 * HEARTBEAT_MILLISECONDS));
+    const beat = () => {
+      this.#store.put("keyed.servers", id, worker.createEntry(proxy.address));
+      this.note(`${id} writes its entry`);
+    };
+    this.#timers.push(setTimeout(beat, HEARTBEAT_MILLISECONDS));
+    if (worker.isMute) this.#timers.push(setTimeout(answer, muteMilliseconds));
   }
 
   cut(id) {
