Reckon a lease by the clock of the incarnation that holds it

Cause: an order names the id of an executor, not its incarnation. The next incarnation reads the deadline of a start on a clock that has started anew, and grants the longest lease. The owner reckoned the lease by the clock of the incarnation before.

Change: a run has a known lease once a report lists it, or its start is answered with a clock reading that fits the known incarnation. Any other run counts as holding the longest lease from when its start was answered or given up.

The start in silent_executor_test.ts is now answered with the clock reading that each response of an executor has; the test gave none, which is no answer of a known incarnation. Its checks and bounds are unchanged.

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -7,6 +7,8 @@
 
 /** An executor's monotonic clock may be up to 2% slower than the local one: 1 / 0.98, rounded up. */
 const SLOW_CLOCK_FACTOR = 1.021;
+/** Executors and this host round their clocks to whole milliseconds. */
+const CLOCK_RESOLUTION_MILLISECONDS = 2;
 
 /** A run and its task. */
 export interface AssignedRun {
@@ -206,6 +208,18 @@
     return next;
   }
 
+  /**
+   * Gets whether a clock reading, taken at or after a time on the local monotonic clock, is too low
+   * for this incarnation: then an order was answered by a later one. Also true without a reading.
+   */
+  isClockBehind(executorTime: number, takenAfter: number): boolean {
+    const clock = this.#clock;
+    if (clock === undefined) return true;
+    const elapsed = takenAfter - clock.receivedAt;
+    const advance = elapsed >= 0 ? elapsed / SLOW_CLOCK_FACTOR : elapsed * SLOW_CLOCK_FACTOR;
+    return executorTime < clock.executorTime + advance - CLOCK_RESOLUTION_MILLISECONDS;
+  }
+
   /** Gets whether the last reading of the executor's clock is past a deadline. */
   hasPassed(deadline: number): boolean {
     return this.#clock !== undefined && this.#clock.executorTime > deadline;
--- a/src/fleet/run.ts
+++ b/src/fleet/run.ts
@@ -49,6 +49,16 @@
    * answer to an order may come from the next one.
    */
   isReported: boolean;
+  /**
+   * Whether an answer shows that the run is in the incarnation whose clock is known, so that its
+   * lease ends by that clock.
+   */
+  isLeaseKnown: boolean;
+  /**
+   * When the start order was answered or given up, on the monotonic clock; undefined while it may
+   * still be sent.
+   */
+  startSettledAt?: number;
   /** When a stop order was answered, on the monotonic clock. */
   stopAnsweredAt?: number;
   /** When the last stop order was sent, on the monotonic clock. */
--- a/src/owner/dispatch_control.ts
+++ b/src/owner/dispatch_control.ts
@@ -219,6 +219,7 @@
     orderedAt: 0,
     confirmedAt: 0,
     isReported: false,
+    isLeaseKnown: false,
     startDeadline: 0,
     percent: 0,
     progressedAt: 0,
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -244,7 +244,7 @@
   getRemainingLeaseMilliseconds(): number {
     let end = this.#executorsInDoubt.size > 0 ? this.#inDoubtUntil : -Infinity;
     for (const executor of this.#state.executors.values()) {
-      end = Math.max(end, executor.getLeaseExpiryTime());
+      end = Math.max(end, this.#polls.getLongestLeaseExpiryTime(executor));
     }
     return Math.max(0, end - this.#state.now);
   }
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -32,6 +32,7 @@
     orderedAt: 0,
     confirmedAt: 0,
     isReported: false,
+    isLeaseKnown: false,
     startDeadline: 0,
     percent: 100,
     progressedAt: 0,
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -142,6 +142,18 @@
     });
   }
 
+  /**
+   * Gets the time by which no lease of an executor can remain, whichever of its incarnations holds
+   * it, on the monotonic clock.
+   */
+  getLongestLeaseExpiryTime(executor: Executor): number {
+    let expiry = this.#getLeaseExpiryTime(executor);
+    for (const { run } of executor.runs.values()) {
+      expiry = Math.max(expiry, this.#getRunLeaseExpiryTime(executor, run));
+    }
+    return expiry;
+  }
+
   /** Removes an executor on which nothing runs; it counts as a new one if it is listed again. */
   removeExecutor(executor: Executor, reason: string): void {
     this.#state.executors.delete(executor.id);
@@ -256,6 +268,7 @@
       run.stopSentAt === undefined;
     if (run.stage === RunStage.Ordered || isUnansweredAndNotStopped) run.stage = RunStage.Running;
     run.isReported = true;
+    run.isLeaseKnown = true;
     if (run.confirmedAt === 0) state.confirmRun(assigned);
     if (reported.percent !== run.percent) run.progressedAt = state.now;
     run.percent = reported.percent;
@@ -297,6 +310,7 @@
       orderedAt: state.now,
       confirmedAt: 0,
       isReported: true,
+      isLeaseKnown: true,
       startDeadline: 0,
       percent: reported.percent,
       progressedAt: state.now,
@@ -370,6 +384,7 @@
     const mayReportLate = executor.isListed &&
       state.now - pollsFailingSince < LATE_REPORT_MILLISECONDS;
     for (const assigned of [...executor.runs.values()]) {
+      if (state.now <= this.#getRunLeaseExpiryTime(executor, assigned.run)) continue;
       if (mayReportLate && !assigned.task.step.specification.isLasting) continue;
       this.#runs.handleUnreportedEnd(executor, assigned, "lease expired");
     }
@@ -388,6 +403,19 @@
       getLeaseWaitMilliseconds(this.#state.limits.longestLeaseMilliseconds);
   }
 
+  /**
+   * Gets the time by which the lease of a run has certainly expired, on the monotonic clock. A start
+   * that no answer ties to the known incarnation may have been accepted by the next one, to which its
+   * deadline gives a lease of any length.
+   */
+  #getRunLeaseExpiryTime(executor: Executor, run: Run): number {
+    const expiry = this.#getLeaseExpiryTime(executor);
+    if (run.isLeaseKnown) return expiry;
+    const { longestLeaseMilliseconds } = this.#state.limits;
+    const settledAt = run.startSettledAt ?? this.#state.now;
+    return Math.max(expiry, settledAt + getLeaseWaitMilliseconds(longestLeaseMilliseconds));
+  }
+
   /** Deletes an executor's journal record, so that later owners need not wait for its answer. */
   #deleteRecord(executor: Executor): void {
     executor.record = ExecutorRecordState.None;
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -59,6 +59,7 @@
       orderedAt: state.now,
       confirmedAt: 0,
       isReported: false,
+      isLeaseKnown: false,
       startDeadline: deadline,
       percent: 0,
       progressedAt: state.now,
@@ -105,7 +106,9 @@
       return;
     }
     const { run, task } = assigned;
+    run.startSettledAt = state.now;
     if (answer.outcome === OrderOutcome.Done) {
+      this.#checkClock(executor, assigned, answer.executorTime);
       state.confirmRun(assigned);
       if (run.stage === RunStage.Ordered || run.stage === RunStage.StartUnanswered) {
         run.stage = RunStage.Running;
@@ -234,6 +237,7 @@
     executor.removeRun(assigned);
     next.addRun(assigned);
     run.startDeadline = Infinity;
+    run.isLeaseKnown = false;
     delete run.stopSentAt;
     delete run.stopAnsweredAt;
   }
@@ -267,6 +271,30 @@
     }
   }
 
+  /**
+   * Checks by the clock reading of an answer whether the incarnation that is known has accepted a
+   * start. A later one reads the deadline on its own clock, which may give it the longest lease.
+   */
+  #checkClock(
+    executor: Executor,
+    { run, task }: AssignedRun,
+    executorTime: number | undefined,
+  ): void {
+    if (executorTime !== undefined && !executor.isClockBehind(executorTime, run.orderedAt)) {
+      run.isLeaseKnown = true;
+      return;
+    }
+    if (run.isLeaseKnown) return;
+    this.#state.log("run-lease-unknown", {
+      request: task.step.job.id,
+      task: task.name,
+      run: run.number,
+      executor: executor.id,
+      executorTime,
+      expectedTime: Math.round(executor.getExecutorTime(run.orderedAt) ?? -1),
+    });
+  }
+
   /** Updates the start window: a start that timed out counts with its timeout as latency. */
   #recordAnswer(taskName: string, runNumber: number): void {
     const { startWindow, now } = this.#state;
--- a/src/owner/silent_executor_test.ts
+++ b/src/owner/silent_executor_test.ts
@@ -16,6 +16,8 @@
 
 const EXECUTORS = ["i-1", "i-2"].map((id) => createListedExecutor({ id }));
 const STEP_MILLISECONDS = 25;
+/** The number of the owner's steps before a start is answered. */
+const STEPS_BEFORE_ANSWER = 7;
 
 interface Silence {
   /** How long polls of the first executor fail, in milliseconds. */
@@ -43,7 +45,9 @@
   for (let step = 0; step < 4; step += 1) advance();
   const { executor, task, run } = starts[0]!;
   const other = EXECUTORS.find(({ id }) => id !== executor.id)!;
-  owner.handleStartAnswer(executor.id, task, run, { outcome: OrderOutcome.Done });
+  // The reports before gave the time of the owner as that of the executor's clock.
+  const executorTime = STEPS_BEFORE_ANSWER * STEP_MILLISECONDS;
+  owner.handleStartAnswer(executor.id, task, run, { outcome: OrderOutcome.Done, executorTime });
   if (!isListed) advance(() => owner.setExecutors([other]));
   const polledAt = () => Number.MAX_SAFE_INTEGER;
   for (let elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
