Wait for the executors of each service that may run a queue's tasks

Cause: a new owner waits with a task that it has no report of while an executor that may run it has not answered, and took the executors of the service that the queue has now.

Change: the record of a queue names the services that may run its tasks. An owner stores it as soon as a version sends a queue with unfinished jobs elsewhere, and starts nothing there before, so a later owner waits for the executors of every service in question, whichever versions the earlier one has seen. The usage in doubt and the wait for late reports rest on the same services.

--- a/src/owner/dispatch_control.ts
+++ b/src/owner/dispatch_control.ts
@@ -96,7 +96,7 @@
     const { state } = this.#options;
     const groups = new Map<string, JobStep[]>();
     for (const step of state.ready) {
-      const service = state.getService(step.job);
+      const service = state.getStartService(step.job);
       if (service === undefined) continue;
       const group = groups.get(service);
       if (group === undefined) groups.set(service, [step]);
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -116,8 +116,8 @@
   readonly #maintenance: MaintenanceControl;
   readonly #capacity: PoolSizeControl;
   readonly #inDoubtUntil: number;
-  /** The ids of executors that earlier owners used and that have not answered this one. */
-  readonly #executorsInDoubt = new Set<string>();
+  /** The executors that earlier owners used and that have not answered this one, as recorded, by id. */
+  readonly #executorsInDoubt = new Map<string, ExecutorEntry>();
   /** The executors in the platform's list. */
   #executorEntries: readonly ExecutorEntry[] = [];
   #listRequestedAt = -Infinity;
@@ -128,7 +128,7 @@
     this.#state = FleetState.create(options);
     this.#state.now = options.startedAt;
     this.#state.timeOfDay = options.timeOfDay;
-    for (const queue of readStoredQueues(options.stored)) this.#state.addJournalQueue(queue);
+    for (const queue of readStoredQueues(options.stored)) this.#state.addStoredQueue(queue);
     this.#state.setConfiguration(options.configuration);
     this.#runs = RunControl.create(this.#state);
     this.#polls = PollControl.create(this.#state, this.#runs);
@@ -165,9 +165,10 @@
       policy: options.capacityPolicy,
     });
     for (const job of options.jobs) this.#jobs.restore(job);
+    this.#state.storeQueues();
     const recorded = readStoredExecutors(options.stored);
     for (const entry of recorded) {
-      this.#executorsInDoubt.add(entry.id);
+      this.#executorsInDoubt.set(entry.id, entry);
       this.#setExecutor(entry);
       this.#state.executors.get(entry.id)!.record = ExecutorRecordState.Stored;
     }
@@ -408,7 +409,7 @@
    */
   #handleLostHosts(): void {
     const state = this.#state;
-    for (const id of this.#executorsInDoubt) {
+    for (const id of this.#executorsInDoubt.keys()) {
       const executor = state.executors.get(id);
       // An incarnation first seen after the take-over is not the one that the earlier owner used.
       if (executor === undefined || executor.knownSince > state.startedAt) continue;
@@ -456,7 +457,7 @@
     const servicesInDoubt = new Set<string>();
     const servicesReportingLate = new Set<string>();
     const capacity = { ...NO_RESOURCES };
-    for (const id of this.#executorsInDoubt) {
+    for (const [id, recorded] of this.#executorsInDoubt) {
       const executor = state.executors.get(id);
       // Ends that a cut list lacks come with the next ones, once those before are acknowledged.
       const isReporting = executor?.hasAcceptedFence === true &&
@@ -467,17 +468,18 @@
         this.#executorsInDoubt.delete(id);
         continue;
       }
-      servicesReportingLate.add(executor.entry.service);
+      // An incarnation that is only listed may be of another service.
+      const services = [recorded.service, executor.entry.service];
+      for (const service of services) servicesReportingLate.add(service);
       if (!mayBeRunning) continue;
-      servicesInDoubt.add(executor.entry.service);
+      for (const service of services) servicesInDoubt.add(service);
       addResources(capacity, executor.entry.capacity);
     }
     const usage = new Map<string, Resources>();
     for (const job of state.jobs.values()) {
       if (job.outcome !== undefined) continue;
-      const service = state.getService(job);
-      const isInDoubt = service !== undefined && servicesInDoubt.has(service);
-      const isReportingLate = service !== undefined && servicesReportingLate.has(service);
+      const isInDoubt = state.mayRunOnAnyOf(job.queue, servicesInDoubt);
+      const isReportingLate = state.mayRunOnAnyOf(job.queue, servicesReportingLate);
       for (const task of job.getTasks()) {
         if (task.state !== TaskState.Unknown) continue;
         const { demand, isLasting } = task.step.specification;
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -9,8 +9,9 @@
 import { addResources, type Resources } from "../fleet/resources.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
 import { DurationEstimator } from "./duration_estimator.ts";
-import type { JournalEntry, OwnerPorts } from "./owner_ports.ts";
-import { createQueueEntry } from "./queue_records.ts";
+import type { OwnerPorts } from "./owner_ports.ts";
+import { type QueueEntry, QueueHistory } from "./queue_history.ts";
+import type { StoredQueue } from "./queue_records.ts";
 import { StartWindow } from "./start_window.ts";
 
 /** The limits and durations that the owner's decisions respect. */
@@ -115,10 +116,9 @@
   /** Whether a change since the last dispatch may allow tasks to start. */
   needsDispatch = true;
   #runCount = 0;
-  /** All queues known by name, including removed ones. */
-  readonly #queues = new Map<string, Queue>();
-  /** The queues as last written to the journal by this owner, by name. */
-  readonly #writtenQueues = new Map<string, Queue>();
+  readonly #queueHistory = QueueHistory.create();
+  /** The queues of unfinished jobs whose records lack their present services, by name. */
+  readonly #unstoredQueues = new Set<string>();
 
   private constructor(options: FleetStateOptions) {
     this.fence = options.fence;
@@ -150,28 +150,49 @@
 
   /** Gets a queue by name; one that was removed is returned as it was last configured. */
   getQueue(name: string): Queue | undefined {
-    const queue = this.configuration.getQueue(name) ?? this.#queues.get(name);
-    return queue;
+    return this.#queueHistory.get(name);
   }
 
   /** Sets the configuration and retains its queues. */
   setConfiguration(configuration: Configuration): void {
     this.configuration = configuration;
-    for (const queue of configuration.getQueues()) this.#queues.set(queue.name, queue);
+    for (const queue of configuration.getQueues()) this.#queueHistory.set(queue);
+    this.storeQueues();
     this.needsDispatch = true;
   }
 
   /** Adds a queue that was read from the journal. */
-  addJournalQueue(queue: Queue): void {
-    this.#queues.set(queue.name, queue);
+  addStoredQueue(stored: StoredQueue): void {
+    this.#queueHistory.addStored(stored);
   }
 
   /** Creates the queue's journal entry, unless this owner has already written it. */
-  createQueueEntries(name: string): JournalEntry[] {
-    const queue = this.getQueue(name);
-    if (queue === undefined || this.#writtenQueues.get(name) === queue) return [];
-    this.#writtenQueues.set(name, queue);
-    return [createQueueEntry(queue)];
+  createQueueEntry(name: string): QueueEntry | undefined {
+    return this.#queueHistory.createEntry(name, (service) => this.#mayRun(name, service));
+  }
+
+  /** Stores the queues of unfinished jobs whose records lack their present services. */
+  storeQueues(): void {
+    const names = new Set<string>();
+    for (const job of this.jobs.values()) if (job.outcome === undefined) names.add(job.queue);
+    for (const name of names) this.storeQueue(name);
+  }
+
+  /**
+   * Stores a queue unless its record has its present service. No task starts there before, so that a
+   * later owner knows all services that may run a task.
+   */
+  storeQueue(name: string): void {
+    if (this.#queueHistory.isStored(name)) return;
+    this.#unstoredQueues.add(name);
+    const created = this.createQueueEntry(name);
+    if (created === undefined) return;
+    this.ports.write([created.entry], () => {
+      created.onStored();
+      if (!this.#queueHistory.isStored(name)) return;
+      this.#unstoredQueues.delete(name);
+      this.needsDispatch = true;
+    }, created.onRejected);
   }
 
   /** Gets the service whose executors run a job's tasks. */
@@ -179,6 +200,19 @@
     return this.getQueue(job.queue)?.service;
   }
 
+  /** Gets the service on whose executors a job's tasks may be started now. */
+  getStartService(job: Job): string | undefined {
+    return this.#unstoredQueues.has(job.queue) ? undefined : this.getService(job);
+  }
+
+  /** Gets whether the executors of any of some services may run tasks of a queue. */
+  mayRunOnAnyOf(queue: string, services: ReadonlySet<string>): boolean {
+    const used = this.#queueHistory.getServices(queue);
+    // A queue that is not known may have been sent to any service.
+    if (used.size === 0) return services.size > 0;
+    return [...used].some((service) => services.has(service));
+  }
+
   /** Gets the resources in use by a customer's runs. */
   getUsage(customer: string): Resources {
     let usage = this.usage.get(customer);
@@ -264,6 +298,15 @@
     this.needsDispatch = true;
   }
 
+  /** Gets whether a service may run tasks of a queue that were started before now. */
+  #mayRun(queue: string, service: string): boolean {
+    if (this.hasUnknownTasks) return true;
+    for (const { runs } of this.getExecutorsOf(service)) {
+      for (const { task } of runs.values()) if (task.step.job.queue === queue) return true;
+    }
+    return false;
+  }
+
   /** Gets the executors of a service. */
   *getExecutorsOf(service: string): Generator<Executor> {
     for (const executor of this.executors.values()) {
--- a/src/owner/job_control.ts
+++ b/src/owner/job_control.ts
@@ -84,10 +84,13 @@
     const job = Job.create({ ...submission, acceptedAt: state.timeOfDay });
     this.#accepting.set(submission.id, { job, callbacks });
     // A later owner needs the queue to execute the job, even if operators have removed it since.
-    const entries = [createAcceptedEntry(job), ...state.createQueueEntries(job.queue)];
+    const queue = state.createQueueEntry(job.queue);
+    const entries = [createAcceptedEntry(job), ...(queue === undefined ? [] : [queue.entry])];
     state.ports.write(entries, () => {
       this.#accepting.delete(job.id);
+      queue?.onStored();
       state.jobs.set(job.id, job);
+      state.storeQueue(job.queue);
       this.#recordArrival(job);
       state.log("job-accepted", {
         request: job.id,
@@ -101,6 +104,7 @@
       for (const callback of callbacks) callback.onAccepted();
     }, () => {
       this.#accepting.delete(job.id);
+      queue?.onRejected();
       for (const callback of callbacks) callback.onRejected();
     });
   }
