--- a/src/owner/moved_queue_test.ts
+++ b/src/owner/moved_queue_test.ts
@@ -155,3 +155,15 @@
   advanceSteps(next, 10);
   t.deepEqual(getStarts(next), []);
 });
+
+// Guards against an accepted job that no owner can finish, since its queue was removed unrecorded.
+test("a job that came in before its queue was known is finished after the queue is removed", (t) => {
+  const first = createFirstOwner(createConfiguration(1, undefined));
+  submit(first);
+  first.advance(() => first.owner.setConfiguration(createConfiguration(2, "tugdesk")));
+  advanceSteps(first, 2);
+  const next = takeOver(first, createConfiguration(3, undefined));
+  for (const executor of EXECUTORS) next.reportNoRuns(executor);
+  advanceSteps(next, 2);
+  t.snapshot({ first: getStarts(first), next: getStarts(next) });
+});
