Answer the requests that a stopping host still holds

Cause: PlatformHost.stop closed the listener at the end of its time whatever was open.

Change: before the exit the front answers each call that it holds by what its deliveries show: 503 with Retry-After if no owner has got it, 504 if it may have had an effect. The listener refuses what it is still reading and what comes in afterwards. A second SIGTERM no longer ends a stop that is under way.

--- a/src/front/front_task.ts
+++ b/src/front/front_task.ts
@@ -34,6 +34,8 @@
   | { kind: "ownership"; view: OwnershipView }
   | { kind: "answered"; number: number; answer: Answer; epoch: number }
   | { kind: "link-opened"; epoch: number }
+  /** The host is about to exit: answers all pending calls at once, and each later one. */
+  | { kind: "refuse" }
   | { kind: "tick" };
 
 /** Options of a `FrontTask`. */
@@ -65,6 +67,7 @@
   #view: OwnershipView | undefined;
   #link: OwnerLinkTask | undefined;
   #lastNumber = 0;
+  #isRefusing = false;
 
   private constructor(options: FrontTaskOptions) {
     super({ name: "front" });
@@ -107,6 +110,8 @@
       case "link-opened":
         if (message.epoch === this.#getEpoch()) this.#deliverAll();
         return;
+      case "refuse":
+        return this.#refuseAll();
       case "tick":
         return this.#tick();
     }
@@ -133,6 +138,7 @@
       this.#options.onAnswered(call, answer, performance.now() - startedAt);
       reply(answer);
     };
+    if (this.#isRefusing) return respond(createUnavailable("this host is stopping"));
     const configuration = this.#configuration;
     if (configuration === undefined) {
       return respond(createUnavailable("this host has no configuration yet"));
@@ -233,6 +239,12 @@
     pending.reply(decided);
   }
 
+  #refuseAll(): void {
+    this.#isRefusing = true;
+    for (const pending of this.#pending.values()) pending.reply(pending.decideExpiry());
+    this.#pending.clear();
+  }
+
   /** Logs when the configuration has become outdated or current since the last call. */
   #logFreshness(): void {
     const isFresh = this.isConfigurationFresh();
--- a/src/front/front_task_test.ts
+++ b/src/front/front_task_test.ts
@@ -38,6 +38,8 @@
   deliverAgain: () => Promise<unknown>;
   /** Lets the caller's timeout elapse. */
   waitForDeadline: () => Promise<unknown>;
+  /** Has the front refuse calls, since its host is about to exit. */
+  refuse: () => Promise<unknown>;
 }
 
 /** Makes a call at a front, plays a course of events, and gets what the caller is told. */
@@ -103,6 +105,10 @@
       return clock.tickAsync(0);
     },
     waitForDeadline: () => clock.tickAsync(TIMEOUT_MILLISECONDS),
+    refuse: () => {
+      front.post({ kind: "refuse" });
+      return clock.tickAsync(0);
+    },
   });
   await clock.tickAsync(1);
   front.stop();
@@ -189,3 +195,17 @@
   }
   t.snapshot(told);
 });
+
+// Guards against a host that exits with calls that it has neither answered nor refused.
+test.serial("a call that a stopping host still holds is refused unless a delivery of it may be stored", async (t) => {
+  const told: [CallKind, string[]][] = [];
+  for (const kind of Object.values(CallKind)) {
+    const unanswered = await play(kind, (front) => front.refuse());
+    const notDelivered = await play(kind, (front) => {
+      front.denyOwnership();
+      return front.refuse();
+    });
+    told.push([kind, [`one delivery: ${unanswered}`, `no host was the owner: ${notDelivered}`]]);
+  }
+  t.snapshot(told);
+});
--- a/src/platform/caller_listener.ts
+++ b/src/platform/caller_listener.ts
@@ -19,6 +19,8 @@
 const DEFAULT_TIMEOUT_MILLISECONDS = 3_000;
 /** How long an idle connection is kept open, in milliseconds. */
 const KEEP_ALIVE_MILLISECONDS = 15_000;
+/** The delay after which a caller should repeat a request to a stopping host, in seconds. */
+const STOPPING_RETRY_AFTER_SECONDS = 1;
 /** Matches a job id: 16 hexadecimal digits. */
 const JOB_ID_PATTERN = /^[0-9a-fA-F]{16}$/;
 
@@ -55,7 +57,9 @@
   | { kind: "received"; request: IncomingMessage; response: ServerResponse }
   | { kind: "response-closed"; response: ServerResponse }
   /** Closes connections as soon as they are idle, so that callers reconnect to another host. */
-  | { kind: "drain" };
+  | { kind: "drain" }
+  /** Refuses the requests that are still being read, and each later one. */
+  | { kind: "refuse" };
 
 /** Owns the server socket for callers and the responses that are not sent yet. */
 export class CallerListener extends Task<CallerListenerMessage> {
@@ -63,7 +67,10 @@
   readonly #server: Server;
   readonly #bodyBudget = BodyMemoryBudget.create(MAXIMUM_BUFFERED_BODY_BYTES);
   readonly #pending = new Set<ServerResponse>();
+  /** The responses to requests whose bodies are still being read. */
+  readonly #reading = new Set<ServerResponse>();
   #isDraining = false;
+  #isRefusing = false;
 
   private constructor(options: CallerListenerOptions) {
     super({ name: "caller-listener" });
@@ -102,6 +109,7 @@
         return this.#readRequest(message.request, message.response);
       case "response-closed":
         this.#pending.delete(message.response);
+        this.#reading.delete(message.response);
         return;
       case "drain":
         this.#isDraining = true;
@@ -110,6 +118,10 @@
         }
         this.#server.closeIdleConnections();
         return;
+      case "refuse":
+        this.#isRefusing = true;
+        for (const response of this.#reading) sendStopping(response);
+        return;
     }
   }
 
@@ -127,6 +139,11 @@
     this.#pending.add(response);
     if (this.#isDraining) response.setHeader("connection", "close");
     response.once("close", () => this.post({ kind: "response-closed", response }));
+    if (this.#isRefusing) {
+      request.resume();
+      return sendStopping(response);
+    }
+    this.#reading.add(response);
     const largestBytes = this.#options.getMaximumBodyBytes();
     readBody({
       request,
@@ -137,10 +154,11 @@
       },
       budget: this.#bodyBudget,
       onResult: (result) => {
-        if (result.outcome === "read") {
-          this.#bodyBudget.release(result.body.length);
-          return this.#handle(request, response, result.body);
-        }
+        this.#reading.delete(response);
+        if (result.outcome === "read") this.#bodyBudget.release(result.body.length);
+        // The request was refused while its body was being read.
+        if (response.headersSent) return;
+        if (result.outcome === "read") return this.#handle(request, response, result.body);
         if (result.outcome === "closed") return;
         const status = result.outcome === "too-large"
           ? 413
@@ -207,6 +225,12 @@
   send(response, status, body, answer.retryAfterSeconds);
 }
 
+/** Answers a request that was not delivered to an owner, since this host is about to exit. */
+function sendStopping(response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader("connection", "close");
+  send(response, 503, { error: "this host is stopping" }, STOPPING_RETRY_AFTER_SECONDS);
+}
+
 function send(
   response: ServerResponse,
   status: number,
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -46,6 +46,8 @@
 const LOAD_BALANCER_DELAY_MILLISECONDS = 2_600;
 /** How long before the platform kills it a stopping process exits by itself, in milliseconds. */
 const STOP_MARGIN_MILLISECONDS = 700;
+/** How long a stopping process waits until its last answers are sent, in milliseconds. */
+const REFUSAL_TIMEOUT_MILLISECONDS = 300;
 /** How often a stopping process checks whether it can exit, in milliseconds. */
 const STOP_CHECK_INTERVAL_MILLISECONDS = 50;
 /** How long a stopping owner waits for its pending journal entries, in milliseconds. */
@@ -91,7 +93,8 @@
     }
     | undefined;
   #claim: Claim | undefined;
-  #isStopping = false;
+  /** Resolves when a stop is complete; undefined before the host is stopped. */
+  #stopped: Promise<void> | undefined;
 
   private constructor(options: PlatformHostOptions) {
     const { settings, log } = options;
@@ -164,7 +167,7 @@
 
   /** Gets whether the load balancer should send callers to this host. */
   isReady(): boolean {
-    return !this.#isStopping && this.#front.isConfigurationFresh();
+    return this.#stopped === undefined && this.#front.isConfigurationFresh();
   }
 
   /** Applies the bounds of reloaded settings; all other settings take effect at the next start. */
@@ -172,10 +175,16 @@
     this.#settings = { ...this.#settings, bounds: settings.bounds };
   }
 
-  /** Hands over ownership, waits for open requests, and closes everything within the grace period. */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
+  /**
+   * Hands over ownership, waits for open requests, answers those that are left, and closes everything
+   * within the grace period. A host that is stopping is not stopped again.
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const startedAt = performance.now();
     this.#log("host-stopping", {
       open: this.#callerListener.getPendingCount(),
@@ -184,15 +193,15 @@
     this.#callerListener.post({ kind: "drain" });
     await this.#releaseOwnership();
     const maximumElapsed = this.#settings.bounds.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
-    for (;;) {
-      const elapsed = performance.now() - startedAt;
-      const isIdle = this.#callerListener.getPendingCount() === 0;
-      if (elapsed >= maximumElapsed || (isIdle && elapsed >= LOAD_BALANCER_DELAY_MILLISECONDS)) {
-        break;
-      }
-      await delay(STOP_CHECK_INTERVAL_MILLISECONDS);
-    }
+    const minimumElapsed = Math.min(LOAD_BALANCER_DELAY_MILLISECONDS, maximumElapsed);
+    await delay(startedAt + minimumElapsed - performance.now());
+    await this.#waitUntilIdle(startedAt + maximumElapsed);
+    const refused = this.#callerListener.getPendingCount();
+    this.#callerListener.post({ kind: "refuse" });
+    this.#front.post({ kind: "refuse" });
+    await this.#waitUntilIdle(performance.now() + REFUSAL_TIMEOUT_MILLISECONDS);
     this.#log("host-stopped", {
+      refused,
       open: this.#callerListener.getPendingCount(),
       took: Math.round(performance.now() - startedAt),
     });
@@ -216,6 +225,13 @@
     this.#claimStore.close();
   }
 
+  /** Waits until no request is open, or until a time on the monotonic clock. */
+  async #waitUntilIdle(until: number): Promise<void> {
+    do {
+      await delay(STOP_CHECK_INTERVAL_MILLISECONDS);
+    } while (this.#callerListener.getPendingCount() > 0 && performance.now() < until);
+  }
+
   #createFront(): FrontTask {
     return FrontTask.create({
       deliverLocally: (call, reply) => this.#deliverToOwner({ kind: "call", call, reply }),
--- a/src/platform/platform_host_test.ts
+++ b/src/platform/platform_host_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import { request } from "undici";
 import type { EventFields } from "../events/mod.ts";
 import { listen } from "../links/listen.ts";
@@ -60,7 +60,7 @@
   });
 }
 
-async function startFleet(hostCount: number): Promise<Fleet> {
+async function startFleet(hostCount: number, graceMilliseconds = 6_000): Promise<Fleet> {
   const store = StoreStandIn.create();
   const storeAddress = await store.listen();
   store.put("keyed.op", "config", CONFIGURATION);
@@ -70,11 +70,20 @@
     store.put("keyed.servers", executor.id, await executor.listen());
   }
   const fleet: Fleet = { store, executors, hosts: [], callers: [], events: [] };
-  for (let number = 1; number <= hostCount; number += 1) await addHost(fleet, storeAddress, number);
+  for (let number = 1; number <= hostCount; number += 1) {
+    await addHost(fleet, { storeAddress, number, graceMilliseconds });
+  }
   return fleet;
 }
 
-async function addHost(fleet: Fleet, storeAddress: string, number: number): Promise<void> {
+interface AddedHost {
+  storeAddress: string;
+  number: number;
+  graceMilliseconds: number;
+}
+
+async function addHost(fleet: Fleet, added: AddedHost): Promise<void> {
+  const { storeAddress, number, graceMilliseconds } = added;
   const [callerPort, readyPort, peerPort] = [
     await getFreePort(),
     await getFreePort(),
@@ -92,7 +101,7 @@
     storeAddress,
     storeLimits: STORE_LIMITS,
     bounds: {
-      graceMilliseconds: 6_000,
+      graceMilliseconds,
       keyWithdrawalMilliseconds: 5_000,
       longestLeaseMilliseconds: 10_000,
       stopMilliseconds: 100,
@@ -307,3 +316,69 @@
     starts,
   });
 });
+
+/** The grace period of hosts that are all stopped at once, in milliseconds. */
+const SHORT_GRACE_MILLISECONDS = 3_600;
+/** How long after it was sent a request may end without an answer, in milliseconds. */
+const UNREAD_MILLISECONDS = 200;
+
+/** Submits a job, and gets its status, or how it ended without an answer. */
+async function trySubmit(fleet: Fleet, host: number, number: number): Promise<string> {
+  const sentAt = performance.now();
+  const path = `/berths/${number.toString(16).padStart(16, "0")}`;
+  try {
+    const response = await request(fleet.callers[host]! + path, {
+      method: "POST",
+      headers: { host: "berths.example", "x-api-key": "a-key", "deadline-ms": "3000" },
+      body: JSON.stringify(JOB),
+    });
+    await response.body.dump();
+    return `${response.statusCode}, retry after ${response.headers["retry-after"]} s`;
+  } catch {
+    return performance.now() - sentAt < UNREAD_MILLISECONDS ? "not read" : "read and cut";
+  }
+}
+
+/** Sends the first half of a request, and gets the status line of its answer. */
+function sendHalf(fleet: Fleet, host: number): Promise<string> {
+  const { hostname, port } = new URL(fleet.callers[host]!);
+  const socket = connect({ host: hostname, port: Number(port) });
+  const lines = ["POST /berths/00000000000000ff HTTP/1.1", "host: berths.example"];
+  socket.write([...lines, "content-length: 1000", "", "half"].join("\r\n"));
+  return new Promise((resolve) => {
+    socket.on("data", (bytes) => resolve(String(bytes).split("\r\n")[0]!));
+    socket.on("error", () => {});
+    socket.on("close", () => resolve("no answer"));
+  });
+}
+
+// Guards against requests that are cut without an answer when their host exits.
+test("hosts that all stop at once answer each request that they have read", async (t) => {
+  const fleet = await startFleet(2, SHORT_GRACE_MILLISECONDS);
+  const startedAt = performance.now();
+  let stopped = 0;
+  for (const host of fleet.hosts) void host.stop().then(() => stopped += 1);
+  const answers: Promise<string>[] = [];
+  let half: Promise<string> | undefined;
+  while (stopped < 2) {
+    answers.push(trySubmit(fleet, answers.length % 2, answers.length));
+    if (performance.now() - startedAt > SHORT_GRACE_MILLISECONDS / 2) half ??= sendHalf(fleet, 0);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  const told = new Set(await Promise.all(answers));
+  told.delete("not read");
+  stopFleet(fleet);
+  t.deepEqual([...told], ["503, retry after 1 s"]);
+  t.is(await half, "HTTP/1.1 503 Service Unavailable");
+});
+
+// Guards against a second signal that ends a process with its open requests.
+test("a host that is told to stop again completes the stop that is under way", async (t) => {
+  const fleet = await startFleet(1, SHORT_GRACE_MILLISECONDS);
+  const host = fleet.hosts[0]!;
+  void host.stop();
+  await host.stop();
+  const isStopped = fleet.events.some(({ event }) => event === "host-stopped");
+  stopFleet(fleet);
+  t.true(isStopped);
+});
