Assume that an executor holds the longest lease after a crash of its owner

Cause: a successor of an owner that stated no lease waited for what owners grant, 6.5 s by the clocks that they know. An executor that has restarted under its id reads a deadline on a new clock and may hold the longest lease that executors grant.

Change: getEarlierLeases gives two figures for each way of a claim. The longest lease counts for executors that have not answered and, until it has ended, for those that fall silent after their first report. The lease by the known clocks counts if the provider lists the host as down, or neither list has the executor: nothing has restarted there then, and its tasks wait as long as before.

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -63,6 +63,11 @@
   orphanRunCount = 0;
   /** Whether it accepts no new tasks because a planned action drains it. */
   isCordoned = false;
+  /**
+   * When the newest host list was requested, on the monotonic clock, if its host is down according to
+   * that list; `-Infinity` otherwise.
+   */
+  hostDownAsOf = -Infinity;
   /** Whether its host has pending maintenance, for which it will be drained. */
   hasPendingMaintenance = false;
   /** Whether a poll is in flight. */
@@ -93,8 +98,10 @@
   #clock: ClockReading | undefined;
   /** The latest deadline that this owner has granted. */
   #latestDeadline = 0;
-  /** The latest deadline that others may have granted. */
-  #assumedDeadline = 0;
+  /** The latest deadline that earlier owners may have granted by this incarnation's clock. */
+  #earlierDeadline = 0;
+  /** The latest deadline that orders for an earlier incarnation may have granted to this one. */
+  #strayDeadline = 0;
 
   private constructor(entry: ExecutorEntry) {
     this.entry = entry;
@@ -175,12 +182,24 @@
     return this.#latestDeadline;
   }
 
-  /** Accounts for a lease that this owner did not grant, or not to this incarnation. */
-  assumeLease(leaseMilliseconds: number): void {
-    const clock = this.#clock;
-    if (clock === undefined) return;
-    const deadline = clock.executorTime + leaseMilliseconds;
-    this.#assumedDeadline = Math.max(this.#assumedDeadline, deadline);
+  /** Accounts for the lease that an earlier owner may have granted by this incarnation's clock. */
+  assumeEarlierLease(leaseMilliseconds: number): void {
+    const deadline = (this.#clock?.executorTime ?? 0) + leaseMilliseconds;
+    this.#earlierDeadline = Math.max(this.#earlierDeadline, deadline);
+  }
+
+  /** Accounts for the lease that orders for an earlier incarnation may have granted to this one. */
+  assumeStrayLease(leaseMilliseconds: number): void {
+    const deadline = (this.#clock?.executorTime ?? 0) + leaseMilliseconds;
+    this.#strayDeadline = Math.max(this.#strayDeadline, deadline);
+  }
+
+  /**
+   * Gets whether its host was down at or after a time on the monotonic clock, so that it runs nothing
+   * that it was told before.
+   */
+  isHostDownSince(time: number): boolean {
+    return this.hostDownAsOf >= time;
   }
 
   /**
@@ -190,7 +209,13 @@
   getLeaseExpiryTime(): number {
     const clock = this.#clock;
     if (clock === undefined) return -Infinity;
-    const deadline = Math.max(this.#latestDeadline, this.#assumedDeadline);
+    const isDown = this.pollsFailingSince !== undefined &&
+      this.isHostDownSince(this.pollsFailingSince);
+    const deadline = Math.max(
+      this.#latestDeadline,
+      this.#earlierDeadline,
+      isDown ? 0 : this.#strayDeadline,
+    );
     const remaining = Math.max(0, deadline - clock.executorTime);
     return clock.receivedAt + remaining * SLOW_CLOCK_FACTOR;
   }
--- a/src/owner/dispatch_control_test.ts
+++ b/src/owner/dispatch_control_test.ts
@@ -37,7 +37,7 @@
       stopMilliseconds: 900,
       longestLeaseMilliseconds: 10_000,
       jobLimits: JOB_LIMITS,
-      earlierLeaseMilliseconds: 0,
+      earlierLeases: { reckonedMilliseconds: 0, longestMilliseconds: 0 },
       offRackFactor: 1,
     },
     ports,
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -81,6 +81,11 @@
    * milliseconds.
    */
   inDoubtMilliseconds: number;
+  /**
+   * The same at executors whose hosts are down, in milliseconds: what they were told under an id, no
+   * later incarnation runs.
+   */
+  downInDoubtMilliseconds: number;
 }
 
 /** The minimum interval between removals of expired jobs, in milliseconds. */
@@ -116,6 +121,7 @@
   readonly #maintenance: MaintenanceControl;
   readonly #capacity: PoolSizeControl;
   readonly #inDoubtUntil: number;
+  readonly #downInDoubtUntil: number;
   /** The executors that earlier owners used and that have not answered this one, as recorded, by id. */
   readonly #executorsInDoubt = new Map<string, ExecutorEntry>();
   /** The executors in the platform's list. */
@@ -144,6 +150,7 @@
       getTicket: (step, executor) => this.#advice.getTicket(step, executor),
     });
     this.#inDoubtUntil = options.startedAt + options.inDoubtMilliseconds;
+    this.#downInDoubtUntil = options.startedAt + options.downInDoubtMilliseconds;
     this.#hosts = HostControl.create({
       state: this.#state,
       runs: this.#runs,
@@ -305,6 +312,7 @@
   /** Sets the provider's host list, with the monotonic time at which it was requested. */
   setHosts(hosts: readonly Host[], requestedAt: number): void {
     this.#hosts.setHosts(hosts, requestedAt);
+    this.#hosts.markDownExecutors();
     this.#handleLostHosts();
     this.#resolveUnknown();
     this.#clearMistakenEnds();
@@ -452,13 +460,14 @@
   #resolveUnknown(): void {
     const state = this.#state;
     if (!state.hasUnknownTasks) return;
-    const mayBeRunning = state.now < this.#inDoubtUntil;
     const mayReportLate = state.now < state.startedAt + LATE_REPORT_MILLISECONDS;
     const servicesInDoubt = new Set<string>();
     const servicesReportingLate = new Set<string>();
     const capacity = { ...NO_RESOURCES };
     for (const [id, recorded] of this.#executorsInDoubt) {
       const executor = state.executors.get(id);
+      const isDown = executor?.isHostDownSince(state.startedAt) === true;
+      const mayBeRunning = state.now < (isDown ? this.#downInDoubtUntil : this.#inDoubtUntil);
       // Ends that a cut list lacks come with the next ones, once those before are acknowledged.
       const isReporting = executor?.hasAcceptedFence === true &&
         executor.pollsFailingSince === undefined;
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -7,6 +7,7 @@
 import type { JobLimits } from "../fleet/job_limits.ts";
 import { parseTaskName } from "../fleet/job_specification.ts";
 import { addResources, type Resources } from "../fleet/resources.ts";
+import type { EarlierLeases } from "../ownership/lease_bounds.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
 import { DurationEstimator } from "./duration_estimator.ts";
 import type { OwnerPorts } from "./owner_ports.ts";
@@ -20,10 +21,8 @@
   retentionMilliseconds: number;
   /** The maximum time that an executor takes to stop a run, in milliseconds. */
   stopMilliseconds: number;
-  /**
-   * The maximum lease that an earlier owner may have granted, in milliseconds; 0 if there was none.
-   */
-  earlierLeaseMilliseconds: number;
+  /** The longest leases that earlier owners may have left. */
+  earlierLeases: EarlierLeases;
   /** The maximum lease that executors accept, in milliseconds. */
   longestLeaseMilliseconds: number;
   /** The limits on the size of a job. */
--- a/src/owner/hand_over_lease_test.ts
+++ b/src/owner/hand_over_lease_test.ts
@@ -20,10 +20,13 @@
 }
 
 /** Starts the task at an executor that has restarted, unnoticed, and answers nothing for a while. */
-async function startAfterRestart(world: OwnerSuccession): Promise<OwnerTask> {
+async function startAfterRestart(
+  world: OwnerSuccession,
+  muteMilliseconds = MUTE_MILLISECONDS,
+): Promise<OwnerTask> {
   const owner = await world.open(1, undefined);
   await world.clock.tickAsync(UPTIME_MILLISECONDS);
-  world.restartFirstExecutor(MUTE_MILLISECONDS);
+  world.restartFirstExecutor(muteMilliseconds);
   await world.clock.tickAsync(200);
   world.submit(owner);
   await world.clock.tickAsync(1_000);
@@ -106,3 +109,29 @@
   world.stop();
   t.snapshot(world.events);
 });
+
+// Guards against a successor that assumes the leases by the clocks that a crashed owner knew.
+test.serial("a successor of an owner that ends without a hand-over waits for the longest lease", async (t) => {
+  const world = OwnerSuccession.create();
+  const first = await startAfterRestart(world);
+  first.stop();
+  await world.open(2, CLAIM);
+  await world.clock.tickAsync(14_000);
+  world.stop();
+  t.snapshot(world.events);
+});
+
+// Guards against a successor that gives up an adopted run by the clocks that earlier owners knew.
+test.serial("a successor waits for the longest lease of a run that it adopted and then lost touch with", async (t) => {
+  const world = OwnerSuccession.create();
+  const first = await startAfterRestart(world, 1_500);
+  world.listRestart(1_200);
+  await world.clock.tickAsync(100);
+  first.stop();
+  await world.open(2, CLAIM);
+  await world.clock.tickAsync(1_500);
+  world.cutOffRunningExecutor();
+  await world.clock.tickAsync(14_000);
+  world.stop();
+  t.snapshot(world.events);
+});
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -121,6 +121,20 @@
     }
   }
 
+  /**
+   * Marks the executors whose hosts are down, according to the list. A host that the list omits is
+   * down if its executor is not listed either.
+   */
+  markDownExecutors(): void {
+    for (const executor of this.#state.executors.values()) {
+      const { host: name } = executor.entry;
+      if (name === undefined) continue;
+      const host = this.#hosts.get(name);
+      const isDown = host === undefined ? !executor.isListed : host.state === HostState.Down;
+      executor.hostDownAsOf = isDown ? this.#listRequestedAt : -Infinity;
+    }
+  }
+
   /** Reserves a host for a planned action. Returns false if it is already reserved. */
   reserve(host: Host, purpose: string): boolean {
     if (this.#reservations.has(host.name)) return false;
--- a/src/owner/owner_decisions_test.ts
+++ b/src/owner/owner_decisions_test.ts
@@ -50,7 +50,7 @@
     stopMilliseconds: 900,
     longestLeaseMilliseconds: 10_000,
     jobLimits: JOB_LIMITS,
-    earlierLeaseMilliseconds: 0,
+    earlierLeases: { reckonedMilliseconds: 0, longestMilliseconds: 0 },
     offRackFactor: 1,
   };
   const state = FleetState.create({ fence, limits, ports, log: () => {}, startedAt: 0 });
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -9,9 +9,9 @@
 import type { ForwardedCall } from "../front/call_frame.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
 import {
+  getEarlierLeases,
   getGrantedLeaseMilliseconds,
   getLeaseWaitMilliseconds,
-  getLongestLeaseMilliseconds,
 } from "../ownership/lease_bounds.ts";
 import { CLAIM_VALIDITY_MILLISECONDS } from "../ownership/ownership_task.ts";
 import type { Claim, JournalStore } from "../ownership/ownership_ports.ts";
@@ -116,7 +116,7 @@
   /** The expected duration of a host's maintenance, in milliseconds. */
   maintenanceMilliseconds: number;
   /** The limits and durations. */
-  limits: Omit<OwnerLimits, "earlierLeaseMilliseconds">;
+  limits: Omit<OwnerLimits, "earlierLeases">;
   /** Called when the journal has rejected this epoch in favour of a higher one. */
   onFenced: () => void;
   /** Called with each measured duration, in milliseconds. */
@@ -314,7 +314,7 @@
     const { jobs, unreadable } = readStoredJobs(this.#journalEntries);
     for (const { key, reason } of unreadable) log("journal-entry-unreadable", { key, reason });
     const startedAt = getMonotonicTime();
-    const earlierLeaseMilliseconds = getLongestLeaseMilliseconds(previousClaim);
+    const earlierLeases = getEarlierLeases(previousClaim, limits.longestLeaseMilliseconds);
     const earlierHostOrders = EarlierHostOrders.create({
       stored: this.#journalEntries,
       previousClaim,
@@ -323,7 +323,7 @@
     });
     this.#owner = FleetOwner.create({
       fence: epoch,
-      limits: { ...limits, earlierLeaseMilliseconds },
+      limits: { ...limits, earlierLeases },
       ports: this.#createPorts(),
       log,
       startedAt,
@@ -335,7 +335,8 @@
       capacityPolicy: DEFAULT_CAPACITY_POLICY,
       maintenanceMilliseconds: this.#options.maintenanceMilliseconds,
       executors: this.#executorEntries,
-      inDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeaseMilliseconds),
+      inDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.longestMilliseconds),
+      downInDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.reckonedMilliseconds),
     });
     this.#owner.setPlannedActions(this.#plannedActions);
     this.#calls = CallControl.create({
@@ -354,7 +355,7 @@
       epoch,
       handedOver: previousClaim?.isReleased === true,
       previousRenewal: previousClaim?.renewal,
-      earlierLeaseMilliseconds: Math.round(earlierLeaseMilliseconds),
+      earlierLeaseMilliseconds: Math.round(earlierLeases.longestMilliseconds),
       jobs: jobs.length,
       executors: this.#executorEntries.length,
       durationMilliseconds: Math.round(milliseconds),
@@ -493,10 +494,10 @@
   #handOver(reply: Reply<number>): void {
     this.#isHandingOver = true;
     this.#updateContext();
-    const { epoch, log, previousClaim } = this.#options;
+    const { epoch, limits, log, previousClaim } = this.#options;
     // Before the take-over is complete, only earlier owners have granted leases.
     const leaseMilliseconds = this.#owner?.getRemainingLeaseMilliseconds() ??
-      getLongestLeaseMilliseconds(previousClaim);
+      getEarlierLeases(previousClaim, limits.longestLeaseMilliseconds).longestMilliseconds;
     log("hand-over-started", { epoch, leaseMilliseconds: Math.round(leaseMilliseconds) });
     this.#rejectQueuedCalls();
     if (this.#journal === undefined) return reply(leaseMilliseconds);
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -230,10 +230,12 @@
     executor.recordClockReading({ executorTime: report.executorTime, receivedAt: state.now });
     if (!executor.hasAcceptedFence) {
       executor.hasAcceptedFence = true;
-      executor.assumeLease(state.limits.earlierLeaseMilliseconds);
+      const { reckonedMilliseconds, longestMilliseconds } = state.limits.earlierLeases;
+      executor.assumeEarlierLease(reckonedMilliseconds);
+      executor.assumeStrayLease(longestMilliseconds);
       state.needsDispatch = true;
     }
-    if (executor.isRestarted) executor.assumeLease(state.limits.longestLeaseMilliseconds);
+    if (executor.isRestarted) executor.assumeStrayLease(state.limits.longestLeaseMilliseconds);
     for (const ended of report.ended) {
       if (ended.number <= executor.lastHandledEnd) continue;
       executor.lastHandledEnd = ended.number;
@@ -413,6 +415,7 @@
     if (run.isLeaseKnown) return expiry;
     const { longestLeaseMilliseconds } = this.#state.limits;
     const settledAt = run.startSettledAt ?? this.#state.now;
+    if (executor.isHostDownSince(settledAt)) return expiry;
     return Math.max(expiry, settledAt + getLeaseWaitMilliseconds(longestLeaseMilliseconds));
   }
 
--- a/src/owner/silent_executor_test.ts
+++ b/src/owner/silent_executor_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { Configuration } from "../fleet/configuration.ts";
+import { HostState } from "../fleet/host.ts";
 import { RunEnd } from "../fleet/run.ts";
 import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
 import { createOwnerHarness } from "../stand_ins/owner_harness.ts";
@@ -15,6 +16,7 @@
 });
 
 const EXECUTORS = ["i-1", "i-2"].map((id) => createListedExecutor({ id }));
+const NO_REPEATS = { text: "", repeats: 0, firstAt: 0, intervalMilliseconds: 0 };
 const STEP_MILLISECONDS = 25;
 /** The number of the owner's steps before a start is answered. */
 const STEPS_BEFORE_ANSWER = 7;
@@ -81,3 +83,32 @@
     "long-running task": getStarts({ milliseconds: 4_500, isListed: true, isLasting: true }),
   });
 });
+
+// Guards against a wait for the lease of an incarnation that can't have started.
+test("a start that was not answered is given up sooner if the executor's host is down", (t) => {
+  const getDelay = (state: HostState) => {
+    const executors = EXECUTORS.map((entry) => ({ ...entry, host: `m-${entry.id}` }));
+    const harness = createOwnerHarness({ configuration: CONFIGURATION, executors });
+    const { owner, starts, advance, reportNoRuns } = harness;
+    for (const executor of executors) reportNoRuns(executor);
+    const steps = [createStepSpecification({ isLasting: true })];
+    const specification = { ...NO_REPEATS, steps };
+    advance(() => owner.submit({ id: "j", queue: "tugs", customer: "", specification }, () => {}));
+    for (let step = 0; step < 4; step += 1) advance();
+    const { executor, task, run } = starts[0]!;
+    const unanswered = { outcome: OrderOutcome.Unanswered } as const;
+    const { zone, capacity } = executor;
+    const host = { name: executor.host!, pool: "tugdesk", zone, capacity, state, executorId: "" };
+    advance(() => {
+      owner.handleStartAnswer(executor.id, task, run, unanswered);
+      owner.handlePollAnswer(executor.id, Number.MAX_SAFE_INTEGER, unanswered);
+    });
+    advance(() => owner.setHosts([host], Number.MAX_SAFE_INTEGER));
+    let elapsed = 0;
+    for (; starts.length === 1 && elapsed < 20_000; elapsed += STEP_MILLISECONDS) advance();
+    return elapsed;
+  };
+  const [up, down] = [getDelay(HostState.Up), getDelay(HostState.Down)];
+  t.true(up >= 10_000 && up < 11_000, `${up} ms`);
+  t.true(down >= 2_500 && down < 3_500, `${down} ms`);
+});
--- a/src/owner/take_over_test.ts
+++ b/src/owner/take_over_test.ts
@@ -13,6 +13,9 @@
 /** The maximum time that runs of an earlier owner may go on, in milliseconds. */
 const IN_DOUBT_MILLISECONDS = 6_695;
 
+/** The same at executors that may have restarted, in milliseconds. */
+const LONGEST_IN_DOUBT_MILLISECONDS = 12_978;
+
 /** The lease that a holder may have granted before it released its claim, in milliseconds. */
 const HANDED_OVER_LEASE_MILLISECONDS = 3_063;
 
@@ -83,6 +86,42 @@
   t.snapshot(Object.fromEntries(startedAfter));
 });
 
+// Guards against waits for an executor that can't have restarted, as its host is down.
+test("a new owner waits less for an executor that is down than for one that may have restarted", (t) => {
+  const lists: Record<string, { hosts: Host[]; isListed: boolean }> = {
+    "its host is up": { hosts: [createHost(2, HostState.Up, "i-2")], isListed: true },
+    "its host is down": { hosts: [createHost(2, HostState.Down, "")], isListed: true },
+    "only the list of hosts omits it": { hosts: [], isListed: true },
+    "neither list has it": { hosts: [], isListed: false },
+  };
+  const startedAfter = Object.entries(lists).map(([name, { hosts, isListed }]) => {
+    const [silent, alive] = [createEntry(2), createEntry(1)];
+    const steps = [createStepSpecification({ isLasting: true })];
+    const job = Job.create({
+      id: "j",
+      queue: "tugs",
+      customer: "",
+      specification: { ...SPECIFICATION, steps },
+      acceptedAt: 0,
+    });
+    const { owner, starts, advance, reportNoRuns } = createOwnerHarness({
+      configuration: createConfiguration([QUEUE]),
+      executors: [silent, alive],
+      stored: [silent, alive].map(createExecutorEntry).map(({ key, value }) => [key, value!]),
+      jobs: [job],
+      inDoubtMilliseconds: LONGEST_IN_DOUBT_MILLISECONDS,
+      downInDoubtMilliseconds: IN_DOUBT_MILLISECONDS,
+    });
+    reportNoRuns(alive);
+    if (!isListed) advance(() => owner.setExecutors([alive]));
+    advance(() => owner.setHosts([createHost(1, HostState.Up, "i-1"), ...hosts], 10));
+    let turns = 0;
+    for (; starts.length === 0 && turns < 800; turns += 1) advance();
+    return [name, `${starts[0]?.executor.id} after ${turns * 25} ms`];
+  });
+  t.snapshot(Object.fromEntries(startedAfter));
+});
+
 test("after a hand-over, a task that may be done on a silent executor waits for its late report", (t) => {
   const getDelay = (isListed: boolean, isLasting: boolean): number => {
     const [silent, alive] = [createEntry(2), createEntry(1)];
--- a/src/ownership/lease_bounds.ts
+++ b/src/ownership/lease_bounds.ts
@@ -15,10 +15,21 @@
 const CLOCK_DRIFT_FACTOR = 1.03;
 
 /**
- * The longest lease after a claim whose holder stated none, in milliseconds: it may have been
- * granted during an outage of the store.
+ * How long an owner's last start may be sent after the next claim, in milliseconds: the owner may
+ * start tasks for a while after its last renewal, and the order may then be on its way.
  */
-export const UNSTATED_LEASE_MILLISECONDS = MAXIMUM_LEASE_END_CLAIM_AGE_MILLISECONDS;
+const LAST_START_DELAY_MILLISECONDS = 2_600;
+
+/** The longest leases that owners up to a claim's holder may have left, in milliseconds. */
+export interface EarlierLeases {
+  /** At executors whose clocks the owners knew, since the claim's last append. */
+  reckonedMilliseconds: number;
+  /**
+   * At any executor, since the next claim. An executor that has restarted under its id reads the
+   * deadline of an order on a clock that the owner did not know.
+   */
+  longestMilliseconds: number;
+}
 
 /** Gets the lease that an owner grants at an age of its claim; 0 or less if it grants none. */
 export function getGrantedLeaseMilliseconds(claimAge: number): number {
@@ -28,14 +39,21 @@
 }
 
 /**
- * Gets the longest lease that owners up to a claim's holder may have left at executors, in
- * milliseconds from the claim's last append; 0 if there was no claim.
+ * Gets the longest leases that owners up to a claim's holder may have left at executors, which grant
+ * none beyond a maximum; 0 if there was no claim.
  */
-export function getLongestLeaseMilliseconds(claim: Claim | undefined): number {
-  if (claim === undefined) return 0;
+export function getEarlierLeases(
+  claim: Claim | undefined,
+  maximumMilliseconds: number,
+): EarlierLeases {
+  if (claim === undefined) return { reckonedMilliseconds: 0, longestMilliseconds: 0 };
   const stated = claim.isReleased ? claim.leaseMilliseconds : undefined;
   const isValid = typeof stated === "number" && stated >= 0 && stated < Infinity;
-  return isValid ? stated : UNSTATED_LEASE_MILLISECONDS;
+  const longest = isValid ? stated : maximumMilliseconds + LAST_START_DELAY_MILLISECONDS;
+  return {
+    reckonedMilliseconds: Math.min(longest, MAXIMUM_LEASE_END_CLAIM_AGE_MILLISECONDS),
+    longestMilliseconds: longest,
+  };
 }
 
 /** Gets how long a lease may last by this host's clock, in milliseconds. */
--- a/src/ownership/ownership_task.ts
+++ b/src/ownership/ownership_task.ts
@@ -3,7 +3,7 @@
 import type { EventLog } from "../events/mod.ts";
 import { type ElapsedClock, Task } from "../tasks/mod.ts";
 import { ClaimBackoff } from "./claim_backoff.ts";
-import { getLongestLeaseMilliseconds } from "./lease_bounds.ts";
+import { getEarlierLeases } from "./lease_bounds.ts";
 import type { AppendClaim, Claim, ClaimAppendResult } from "./ownership_ports.ts";
 import {
   getPublishedTimeout,
@@ -76,6 +76,8 @@
   address: string;
   /** Gets the delay before this host claims an epoch, in milliseconds. */
   getDelay: (epoch: number) => number;
+  /** The maximum lease that executors accept, in milliseconds. */
+  longestLeaseMilliseconds: number;
   /** The number of cores that this process may use. */
   cores: number;
   /** Appends a claim. */
@@ -239,7 +241,8 @@
   }
 
   #claimFleet(): void {
-    const { holder, hostName, address, log, getMonotonicTime: getNow } = this.#options;
+    const { holder, hostName, address, longestLeaseMilliseconds, log, getMonotonicTime: getNow } =
+      this.#options;
     const epoch = (this.#claim?.epoch ?? 0) + 1;
     log("claim-made", {
       epoch,
@@ -258,7 +261,8 @@
       isReleased: false,
       renewal: 0,
       timeoutMilliseconds: this.#renewalTimeout.getMilliseconds(),
-      leaseMilliseconds: getLongestLeaseMilliseconds(this.#claim),
+      leaseMilliseconds: getEarlierLeases(this.#claim, longestLeaseMilliseconds)
+        .longestMilliseconds,
     });
   }
 
--- a/src/ownership/ownership_task_test.ts
+++ b/src/ownership/ownership_task_test.ts
@@ -53,6 +53,7 @@
       holder: `${name}-1`,
       hostName: name,
       address: `10.0.0.${index + 1}:7000`,
+      longestLeaseMilliseconds: 10_000,
       getDelay: () => index * 100,
       cores,
       appendClaim: async (claim, at) => {
--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -12,7 +12,6 @@
 import { OwnerTask } from "../owner/owner_task.ts";
 import { getClaimDelay } from "../ownership/claim_delay.ts";
 import { JournalTask } from "../ownership/journal_task.ts";
-import { UNSTATED_LEASE_MILLISECONDS } from "../ownership/lease_bounds.ts";
 import { OwnershipTask, type OwnershipView } from "../ownership/ownership_task.ts";
 import type { Claim } from "../ownership/ownership_ports.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
@@ -267,6 +266,7 @@
       holder,
       hostName: this.#settings.name,
       address: formatSocketAddress(this.#settings.peerAddress),
+      longestLeaseMilliseconds: this.#settings.bounds.longestLeaseMilliseconds,
       getDelay: (epoch) => getClaimDelay({ holder, epoch, cores, linkMegabits }),
       cores,
       appendClaim: createClaimAppend(this.#claimStore),
@@ -419,11 +419,12 @@
     const owner = this.#owner;
     let leaseMilliseconds: number | undefined;
     if (owner !== undefined) {
+      const { longestLeaseMilliseconds } = this.#settings.bounds;
       const finished = new Promise<number>((resolve) => {
         const isPosted = owner.task.post({ kind: "hand-over", reply: resolve });
-        if (!isPosted) resolve(UNSTATED_LEASE_MILLISECONDS);
+        if (!isPosted) resolve(longestLeaseMilliseconds);
       });
-      const timedOut = delay(HANDOVER_TIMEOUT_MILLISECONDS).then(() => UNSTATED_LEASE_MILLISECONDS);
+      const timedOut = delay(HANDOVER_TIMEOUT_MILLISECONDS).then(() => longestLeaseMilliseconds);
       leaseMilliseconds = await Promise.race([finished, timedOut]);
     }
     this.#ownership.post({ kind: "release", leaseMilliseconds });
--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -1,5 +1,6 @@
 /** Simulates a fleet and its owner in virtual time, and checks the invariants at every step. */
 
+import { getLeaseWaitMilliseconds } from "../../ownership/lease_bounds.ts";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import type { EventLog } from "../../events/mod.ts";
@@ -365,6 +366,10 @@
     const fence = this.#fence;
     const configuration = this.#createConfiguration();
     this.#ownerConfigurations.set(fence, configuration);
+    const earlierLeases = fence === 1 ? { reckonedMilliseconds: 0, longestMilliseconds: 0 } : {
+      reckonedMilliseconds: LEASE_MILLISECONDS,
+      longestMilliseconds: MAXIMUM_LEASE_MILLISECONDS,
+    };
     this.#owner = FleetOwner.create({
       fence,
       limits: {
@@ -373,7 +378,7 @@
         longestLeaseMilliseconds: MAXIMUM_LEASE_MILLISECONDS,
         jobLimits: JOB_LIMITS,
         offRackFactor: 1.5,
-        earlierLeaseMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS,
+        earlierLeases,
       },
       ports: this.#createPorts(fence),
       log: IGNORE_EVENT,
@@ -391,7 +396,8 @@
       }),
       maintenanceMilliseconds: MAINTENANCE_MILLISECONDS,
       executors: this.#getListedEntries(),
-      inDoubtMilliseconds: fence === 1 ? 0 : LEASE_MILLISECONDS + 200,
+      inDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.longestMilliseconds),
+      downInDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.reckonedMilliseconds),
     });
     this.#calls = CallControl.create({
       owner: this.#owner,
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -29,6 +29,8 @@
   stored?: readonly (readonly [string, Uint8Array])[];
   /** How long the starts of earlier owners are in doubt, in milliseconds. */
   inDoubtMilliseconds?: number;
+  /** The same at executors whose hosts are down, in milliseconds. */
+  downInDoubtMilliseconds?: number;
 }
 
 /** An owner with the orders that it has issued. */
@@ -85,7 +87,7 @@
       stopMilliseconds: 900,
       longestLeaseMilliseconds: 10_000,
       jobLimits: JOB_LIMITS,
-      earlierLeaseMilliseconds: 0,
+      earlierLeases: { reckonedMilliseconds: 0, longestMilliseconds: 0 },
       offRackFactor: 1,
     },
     ports,
@@ -105,6 +107,7 @@
     }),
     maintenanceMilliseconds: 0,
     inDoubtMilliseconds: options.inDoubtMilliseconds ?? 0,
+    downInDoubtMilliseconds: options.downInDoubtMilliseconds ?? options.inDoubtMilliseconds ?? 0,
   });
   let now = 0;
   const advance = (action = ignore) => {
--- a/src/stand_ins/owner_succession.ts
+++ b/src/stand_ins/owner_succession.ts
@@ -89,6 +89,8 @@
   /** The executors that carry out orders but answer none. */
   readonly #mute = new Set<string>();
   readonly #owners: OwnerTask[] = [];
+  /** The entries in the platform's list. */
+  #listed: readonly ExecutorEntry[] = EXECUTORS;
   readonly #claimClock = ElapsedClock.create();
 
   private constructor() {
@@ -117,7 +119,7 @@
     }, RENEWAL_INTERVAL_MILLISECONDS);
     const plannedActions = { evacuatedZones: new Set<string>(), waves: new Map() };
     owner.post({ kind: "configuration", configuration: CONFIGURATION, plannedActions });
-    owner.post({ kind: "executors", entries: EXECUTORS });
+    owner.post({ kind: "executors", entries: this.#listed });
     await this.clock.tickAsync(200);
     return owner;
   }
@@ -144,10 +146,17 @@
 
   /** Restarts the executor that gets the task, not yet listed; it answers no orders for a while. */
   restartFirstExecutor(muteMilliseconds: number): void {
-    const entry = EXECUTORS[0]!;
-    this.#startExecutor({ ...entry, born: entry.born + performance.now() });
-    this.#mute.add(entry.id);
-    setTimeout(() => this.#mute.delete(entry.id), muteMilliseconds);
+    const { id } = EXECUTORS[0]!;
+    this.#startExecutor({ ...EXECUTORS[0]!, born: this.#getFirstBorn() });
+    this.#mute.add(id);
+    setTimeout(() => this.#mute.delete(id), muteMilliseconds);
+  }
+
+  /** Lists the restarted executor for all owners, as of its restart some time ago. */
+  listRestart(agoMilliseconds: number): void {
+    const [first, ...others] = EXECUTORS;
+    this.#listed = [{ ...first!, born: this.#getFirstBorn() - agoMilliseconds }, ...others];
+    for (const owner of this.#owners) owner.post({ kind: "executors", entries: this.#listed });
   }
 
   /** Hands over, ends the owner, and gets the claim as its host releases it. */
@@ -166,6 +175,10 @@
     this.clock.uninstall();
   }
 
+  #getFirstBorn(): number {
+    return EXECUTORS[0]!.born + performance.now();
+  }
+
   #startExecutor({ id, capacity, born }: ExecutorEntry): void {
     const model = ExecutorModel.create({
       capacity,
