Send no start long after its decision

A host that is paused with a start on its way sends it when it wakes.

Change: a start is not sent any more 1.6 s after its decision, by a clock that includes the time of a pause, as orders for hosts aren't. The wait of a successor counts on that.

Measured: without the change the new test of executor_client_test.ts fails (/-/run-start is received after a pause of 1.7 s), with it it passes.

--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -15,13 +15,18 @@
 import type { EventLog } from "../events/mod.ts";
 import { getErrorMessage } from "../errors/mod.ts";
 import { AdaptiveTimeout } from "./adaptive_timeout.ts";
-import { HttpLink, type LinkResponse } from "./http_link.ts";
+import { HttpLink, type LinkRequest, type LinkResponse } from "./http_link.ts";
 import { parseJson } from "./store_client.ts";
 
 /** The maximum number of ends that an executor lists at a time. */
 const MAXIMUM_LISTED_ENDS = 500;
 /** The maximum number of connections to one executor: one for polls, the others for orders. */
 const MAXIMUM_CONNECTIONS = 4;
+/**
+ * How long after its decision a start may still be sent, in milliseconds: after a pause of this
+ * process, a restarted executor would be bound neither by the fence nor by the deadline.
+ */
+export const START_SEND_LIMIT_MILLISECONDS = 1_600;
 const JSON_HEADERS = { "content-type": "application/json" };
 
 const orderResponseSchema = z.object({
@@ -50,6 +55,9 @@
 
 const RUN_ENDS: ReadonlySet<string> = new Set(Object.values(RunEnd));
 
+/** How long a request may be held, and may still be sent. */
+type RequestLimits = Pick<LinkRequest, "waitMilliseconds" | "sendLimitMilliseconds">;
+
 /** The connections to one executor, and the timeout of its requests. */
 interface ExecutorLink {
   link: HttpLink;
@@ -82,7 +90,7 @@
       fence: order.fence,
       ...(order.checkpoint === "" ? {} : { lastCheckpoint: order.checkpoint }),
       ...(order.ticket === undefined ? {} : { ticket: order.ticket }),
-    });
+    }, { sendLimitMilliseconds: START_SEND_LIMIT_MILLISECONDS });
   }
 
   /** Orders an executor to stop a run. */
@@ -104,7 +112,7 @@
       lastSeen: order.acknowledged,
       ...(order.deadline === 0 ? {} : { deadlineMs: order.deadline }),
       ...(order.waitMilliseconds === 0 ? {} : { waitMs: order.waitMilliseconds }),
-    }, order.waitMilliseconds);
+    }, { waitMilliseconds: order.waitMilliseconds });
     if (response === undefined) return { outcome: OrderOutcome.Unanswered };
     if (response.status !== 200) {
       const outcome = decodeOutcome(response);
@@ -163,8 +171,13 @@
     this.#executorLinks.clear();
   }
 
-  async #sendOrder(executor: ExecutorEntry, path: string, body: unknown): Promise<OrderAnswer> {
-    const response = await this.#post(executor, path, body);
+  async #sendOrder(
+    executor: ExecutorEntry,
+    path: string,
+    body: unknown,
+    limits: RequestLimits = {},
+  ): Promise<OrderAnswer> {
+    const response = await this.#post(executor, path, body, limits);
     if (response === undefined) return { outcome: OrderOutcome.Unanswered };
     const parsed = orderResponseSchema.safeParse(parseJson(response.body));
     return { outcome: decodeOutcome(response), executorTime: parsed.data?.clockMs };
@@ -175,10 +188,10 @@
     executor: ExecutorEntry,
     path: string,
     body: unknown,
-    waitMilliseconds = 0,
+    limits: RequestLimits,
   ): Promise<LinkResponse | undefined> {
     try {
-      return await this.#request(executor, path, body, waitMilliseconds);
+      return await this.#request(executor, path, body, limits);
     } catch (error) {
       this.#log("executor-silent", {
         executor: executor.id,
@@ -194,7 +207,7 @@
     executor: ExecutorEntry,
     path: string,
     body: unknown,
-    waitMilliseconds: number,
+    limits: RequestLimits,
   ): Promise<LinkResponse> {
     const executorLink = this.#getLink(executor);
     const { link, timeout } = executorLink;
@@ -206,7 +219,7 @@
         path,
         headers: { ...JSON_HEADERS, "expect-instance": executor.id },
         body: JSON.stringify(body),
-        waitMilliseconds,
+        ...limits,
         idleTimeoutMilliseconds: timeout.getMilliseconds(),
       });
       timeout.recordResponse(response.latencyMilliseconds);
--- a/src/platform/executor_client_test.ts
+++ b/src/platform/executor_client_test.ts
@@ -3,7 +3,8 @@
 import { createListedExecutor } from "../stand_ins/fleet_fixtures.ts";
 import { RunEnd } from "../fleet/run.ts";
 import { OrderOutcome } from "../owner/owner_ports.ts";
-import { ExecutorClient } from "./executor_client.ts";
+import { pauseProcess } from "../stand_ins/pause_process.ts";
+import { ExecutorClient, START_SEND_LIMIT_MILLISECONDS } from "./executor_client.ts";
 import { RunExecutorStandIn } from "./stand_in/run_executor_stand_in.ts";
 import { sendJson, StandInServer } from "./stand_in/stand_in_server.ts";
 
@@ -115,3 +116,23 @@
   }
   t.snapshot(outcomes);
 });
+
+// Guards against a start by a host that was paused, at an executor that has restarted meanwhile.
+test.serial("a start is not sent after a pause of the process, and a stop is", async (t) => {
+  const received: string[] = [];
+  const server = StandInServer.create((request, _body, response) => {
+    received.push(request.url ?? "");
+    sendJson(response, 200, { clockMs: 0 });
+  });
+  const executor = createListedExecutor({ address: await server.listen() });
+  const client = ExecutorClient.create(() => {});
+  t.teardown(() => (client.close(), server.close()));
+  const run = { executor, task: "j.0.0.0", run: 1, fence: 1 };
+  const start = client.start({ ...run, text: "", deadline: 0, checkpoint: "" });
+  void client.stop(run);
+  // The connections are being opened, and open while the process is paused.
+  pauseProcess(START_SEND_LIMIT_MILLISECONDS + 100);
+  t.is((await start).outcome, OrderOutcome.Unanswered);
+  t.is((await client.pace({ ...run, percent: 50 })).outcome, OrderOutcome.Done);
+  t.deepEqual(received.sort(), ["/-/pace", "/-/run-stop"]);
+});
--- a/src/platform/http_link_test.ts
+++ b/src/platform/http_link_test.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
+import { pauseProcess } from "../stand_ins/pause_process.ts";
 import { HttpLink } from "./http_link.ts";
 import { StandInServer } from "./stand_in/stand_in_server.ts";
 
@@ -49,11 +50,6 @@
   t.is(await getOutcome(link, "/endless"), "failed");
 });
 
-/** Blocks this process, as a paused machine would. */
-function pauseProcess(milliseconds: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
-}
-
 test("a request with a send limit is not sent after a pause of the process, and others are", async (t) => {
   const received: string[] = [];
   const server = StandInServer.create((request, _body, response) => {
