--- a/src/platform/restarts_in_processes_test.ts
+++ b/src/platform/restarts_in_processes_test.ts
@@ -1,10 +1,9 @@
 import test from "ava";
 import { request } from "undici";
-import { RunEnd } from "../fleet/run.ts";
 import { getRunOptions } from "../tests/run_options.ts";
 import { createRandom } from "./stand_in/fleet_simulation.ts";
 import { HostProcess } from "./stand_in/host_process.ts";
-import { RunExecutorStandIn } from "./stand_in/run_executor_stand_in.ts";
+import { RestartingExecutors } from "./stand_in/restarting_executors.ts";
 import { StoreStandIn } from "./stand_in/store_stand_in.ts";
 
 const CONFIGURATION = {
@@ -38,60 +37,6 @@
 
 const delay = (milliseconds: number) => new Promise((resolve) => setTimeout(resolve, milliseconds));
 
-/** Executors that restart under their ids and addresses, and a check of the runs on them. */
-class RestartingExecutors {
-  /** The tasks that ran on two executors at the same time. */
-  readonly violations: string[] = [];
-  readonly #store: StoreStandIn;
-  readonly #lives = new Map<string, { executor: RunExecutorStandIn; port: number }>();
-  /** The executors on which each task runs. */
-  readonly #running = new Map<string, Set<RunExecutorStandIn>>();
-
-  private constructor(store: StoreStandIn) {
-    this.#store = store;
-  }
-
-  /** Creates executors that register in a store. */
-  static create(store: StoreStandIn): RestartingExecutors {
-    return new RestartingExecutors(store);
-  }
-
-  /** Starts an executor, or its next life, which registers after a delay. */
-  async start(id: string, entryDelayMilliseconds: number): Promise<void> {
-    const executor: RunExecutorStandIn = RunExecutorStandIn.create({
-      id,
-      service: "berthbook",
-      zone: "zl-a",
-      planRun: () => ({ durationMilliseconds: TASK_MILLISECONDS, end: RunEnd.Done }),
-      onStart: (task) => this.#handleStart(task, executor),
-      onEnd: (task) => this.#running.get(task)?.delete(executor),
-    });
-    const entry = await executor.listen(this.#lives.get(id)?.port);
-    this.#lives.set(id, { executor, port: Number(String(entry["addr"]).split(":")[1]) });
-    setTimeout(() => this.#store.put("keyed.servers", id, entry), entryDelayMilliseconds);
-  }
-
-  /** Ends an executor with all of its runs. */
-  crash(id: string): void {
-    const { executor } = this.#lives.get(id)!;
-    executor.close();
-    for (const executors of this.#running.values()) executors.delete(executor);
-  }
-
-  close(): void {
-    for (const { executor } of this.#lives.values()) executor.close();
-  }
-
-  #handleStart(task: string, executor: RunExecutorStandIn): void {
-    const executors = this.#running.get(task) ?? new Set();
-    this.#running.set(task, executors);
-    for (const other of executors) {
-      this.violations.push(`${task} on ${other.id} and ${executor.id}`);
-    }
-    executors.add(executor);
-  }
-}
-
 interface Result {
   /** The tasks that ran on two executors at the same time. */
   violations: string[];
@@ -107,9 +52,12 @@
   const store = StoreStandIn.create();
   const address = await store.listen();
   store.put("keyed.op", "config", CONFIGURATION);
-  const executors = RestartingExecutors.create(store);
+  const executors = RestartingExecutors.create({
+    store,
+    getRunMilliseconds: () => TASK_MILLISECONDS,
+  });
   const ids = Array.from({ length: EXECUTORS }, (_, number) => `i-${number}`);
-  for (const id of ids) await executors.start(id, 0);
+  for (const id of ids) await executors.start({ id, service: "berthbook" });
   const hosts = [
     await HostProcess.create({ name: "front-1", store: address }),
     await HostProcess.create({ name: "front-2", store: address }),
@@ -141,8 +89,7 @@
       random() * MAXIMUM_ENTRY_DELAY_MILLISECONDS,
     ];
     await delay(JOB_INTERVAL_MILLISECONDS - lead);
-    executors.crash(id);
-    await executors.start(id, entryDelay);
+    await executors.restart(id, { entryDelayMilliseconds: entryDelay, muteMilliseconds: 0 });
     await delay(lead);
     const job = (number + 1).toString(16).padStart(16, "0");
     const step = { count: TASKS, cpu: 2_000, memMb: 100, estRuntimeMs: TASK_MILLISECONDS };
--- a/src/platform/stand_in/host_process.ts
+++ b/src/platform/stand_in/host_process.ts
@@ -11,30 +11,41 @@
 const PROGRAM = fileURLToPath(new URL("../../platform_main.js", import.meta.url));
 const ADDRESS = "127.0.0.1";
 
+/** The delay between two checks of a host's readiness, in milliseconds. */
+const READINESS_CHECK_INTERVAL_MILLISECONDS = 50;
+
 /** Options of a `HostProcess`. */
 export interface HostProcessOptions {
   /** The host's name. */
   name: string;
   /** The address of the store. */
   store: string;
+  /** How long a stop may take, in milliseconds; the program's default if unset. */
+  graceMilliseconds?: number;
 }
 
-/** Owns the process of an entry host and its settings file. */
+/** Owns the processes of an entry host, one at a time, and its settings file. */
 export class HostProcess {
+  /** The host's name. */
+  readonly name: string;
   /** The address of the jobs API. */
   readonly callers: string;
-  /** The lines that the process has logged. */
+  /** The lines that its processes have logged. */
   readonly lines: string[] = [];
   readonly #readiness: string;
   readonly #folder: string;
-  readonly #process: ChildProcess;
+  readonly #settingsPath: string;
+  #process: ChildProcess;
+  #exited: Promise<void>;
 
   private constructor(options: HostProcessOptions, ports: readonly [number, number, number]) {
     const [callers, ready, peers] = ports;
+    this.name = options.name;
     this.callers = `http://${ADDRESS}:${callers}`;
     this.#readiness = `http://${ADDRESS}:${ready}/-/readiness`;
     this.#folder = mkdtempSync(join(tmpdir(), "tanagerpin-"));
-    const path = join(this.#folder, "local.yaml");
+    this.#settingsPath = join(this.#folder, "local.yaml");
+    const { graceMilliseconds } = options;
     const settings = {
       node: options.name,
       ip: ADDRESS,
@@ -42,41 +53,75 @@
       listen: { front: `${ADDRESS}:${callers}`, ready: `${ADDRESS}:${ready}` },
       portRange: [peers, peers],
       limits: {},
-      bounds: { stopMs: 100 },
+      bounds: {
+        stopMs: 100,
+        ...(graceMilliseconds === undefined ? {} : { graceS: graceMilliseconds / 1_000 }),
+      },
       platform: { addr: options.store },
     };
     // JSON is a subset of YAML.
-    writeFileSync(path, JSON.stringify(settings));
-    this.#process = spawn(process.execPath, [PROGRAM], {
-      env: { ...process.env, TANAGERPIN_BOOT: path },
-      stdio: ["ignore", "pipe", "inherit"],
-    });
-    let rest = "";
-    this.#process.stdout!.on("data", (bytes: Buffer) => {
-      const lines = (rest + String(bytes)).split("\n");
-      rest = lines.pop()!;
-      this.lines.push(...lines);
-    });
+    writeFileSync(this.#settingsPath, JSON.stringify(settings));
+    [this.#process, this.#exited] = this.#spawn();
   }
 
   /** Starts a host, and waits until it is ready. */
   static async create(options: HostProcessOptions): Promise<HostProcess> {
     const ports = [await getFreePort(), await getFreePort(), await getFreePort()] as const;
     const host = new HostProcess(options, ports);
-    while (!await host.#isReady()) await new Promise((resolve) => setTimeout(resolve, 50));
+    await host.#waitUntilReady();
     return host;
   }
 
-  /** Kills the process and waits for its end. */
+  /** Sends a signal to the process, if it has not ended. */
+  signal(signal: NodeJS.Signals): void {
+    this.#process.kill(signal);
+  }
+
+  /** Waits for the end of the process, and gets its exit code; `null` if a signal ended it. */
+  async waitForExit(): Promise<number | null> {
+    await this.#exited;
+    return this.#process.exitCode;
+  }
+
+  /** Starts the next process once the current one has ended, and waits until it is ready. */
+  async restart(): Promise<void> {
+    await this.#exited;
+    [this.#process, this.#exited] = this.#spawn();
+    await this.#waitUntilReady();
+  }
+
+  /** Kills the process, waits for its end and removes the settings file. */
   async stop(): Promise<void> {
-    const exited = new Promise((resolve) => this.#process.once("exit", resolve));
     this.#process.kill("SIGKILL");
-    await exited;
+    await this.#exited;
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
+  #spawn(): [ChildProcess, Promise<void>] {
+    const started = spawn(process.execPath, [PROGRAM], {
+      env: { ...process.env, TANAGERPIN_BOOT: this.#settingsPath },
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+    let rest = "";
+    started.stdout.on("data", (bytes: Buffer) => {
+      const lines = (rest + String(bytes)).split("\n");
+      rest = lines.pop()!;
+      this.lines.push(...lines);
+    });
+    const exited = new Promise<void>((resolve) => started.once("exit", () => resolve()));
+    return [started, exited];
+  }
+
+  async #waitUntilReady(): Promise<void> {
+    while (!await this.#isReady()) {
+      await new Promise((resolve) => setTimeout(resolve, READINESS_CHECK_INTERVAL_MILLISECONDS));
+    }
+  }
+
   async #isReady(): Promise<boolean> {
-    if (this.#process.exitCode !== null) throw new Error("the host's process has ended");
+    if (this.#process.exitCode !== null || this.#process.signalCode !== null) {
+      throw new Error("the host's process has ended");
+    }
     try {
       return (await fetch(this.#readiness)).status === 200;
     } catch {
--- a/src/platform/stand_in/run_executor_stand_in.ts
+++ b/src/platform/stand_in/run_executor_stand_in.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RunEnd } from "../../fleet/run.ts";
 import { OrderOutcome } from "../../owner/owner_ports.ts";
 import { parseJson } from "../store_client.ts";
 import { ExecutorModel, type RunPlan } from "./executor_model.ts";
@@ -44,8 +45,8 @@
   planRun: (task: string, run: number) => RunPlan;
   /** Called with the task of each run that starts. */
   onStart?: (task: string) => void;
-  /** Called with the task of each run that ends. */
-  onEnd?: (task: string) => void;
+  /** Called with the task of each run that ends, and how it ended. */
+  onEnd?: (task: string, end: RunEnd) => void;
 }
 
 /** An executor that runs no real tasks: each run lasts for its planned duration. */
@@ -54,6 +55,8 @@
   readonly id: string;
   /** The names of the tasks that were started, in order. */
   readonly starts: string[] = [];
+  /** Whether it carries out orders and answers none. */
+  isMute = false;
   readonly #options: RunExecutorStandInOptions;
   readonly #server: StandInServer;
   readonly #model: ExecutorModel;
@@ -78,9 +81,9 @@
         this.starts.push(run.task);
         options.onStart?.(run.task);
       },
-      onEnd: (run) => {
+      onEnd: (run, end) => {
         this.#endCount += 1;
-        options.onEnd?.(run.task);
+        options.onEnd?.(run.task, end);
       },
     });
     this.#timer = setInterval(
@@ -121,7 +124,7 @@
 
   async #handle(request: IncomingMessage, body: Buffer, response: ServerResponse): Promise<void> {
     const order = parseJson(body) as OrderBody;
-    if (request.headers["expect-instance"] !== this.id) return sendJson(response, 421, {});
+    if (request.headers["expect-instance"] !== this.id) return this.#send(response, 421, {});
     const now = performance.now();
     switch (request.url) {
       case "/-/run-start":
@@ -137,7 +140,7 @@
       case "/-/hold":
         return await this.#poll(response, order);
       default:
-        return sendJson(response, 404, {});
+        return this.#send(response, 404, {});
     }
   }
 
@@ -158,7 +161,7 @@
       report = this.#model.poll(request, performance.now());
     }
     if (report === undefined) return this.#sendOutcome(response, OrderOutcome.Fenced);
-    sendJson(response, 200, {
+    this.#send(response, 200, {
       clockMs: report.executorTime,
       born: report.born,
       running: report.running.map((row) => [
@@ -172,10 +175,14 @@
     });
   }
 
+  #send(response: ServerResponse, status: number, body: unknown): void {
+    if (!this.isMute) sendJson(response, status, body);
+  }
+
   #sendOutcome(response: ServerResponse, outcome: OrderOutcome): void {
     const clockMs = this.#model.getExecutorTime(performance.now());
-    if (outcome === OrderOutcome.Done) return sendJson(response, 200, { clockMs });
-    sendJson(response, 409, { clockMs, reason: REASON_BY_OUTCOME[outcome] });
+    if (outcome === OrderOutcome.Done) return this.#send(response, 200, { clockMs });
+    this.#send(response, 409, { clockMs, reason: REASON_BY_OUTCOME[outcome] });
   }
 }
 
