Start tasks at once in a service that the record of their queue has

A queue that was sent elsewhere and back, before the record of the first move was stored, started nothing until that record was stored, and nothing at all if it was refused. A queue now waits only while its record lacks its present service.

The check for a queue's services in a take-over no longer allocates for each job.

--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -182,15 +182,16 @@
    * later owner knows all services that may run a task.
    */
   storeQueue(name: string): void {
-    if (this.#queueHistory.isStored(name)) return;
+    if (this.#queueHistory.isStored(name)) {
+      if (this.#unstoredQueues.delete(name)) this.needsDispatch = true;
+      return;
+    }
     this.#unstoredQueues.add(name);
     const created = this.createQueueEntry(name);
     if (created === undefined) return;
     this.ports.write([created.entry], () => {
       created.onStored();
-      if (!this.#queueHistory.isStored(name)) return;
-      this.#unstoredQueues.delete(name);
-      this.needsDispatch = true;
+      this.storeQueue(name);
     }, created.onRejected);
   }
 
@@ -209,7 +210,8 @@
     const used = this.#queueHistory.getServices(queue);
     // A queue that is not known may have been sent to any service.
     if (used.size === 0) return services.size > 0;
-    return [...used].some((service) => services.has(service));
+    for (const service of used) if (services.has(service)) return true;
+    return false;
   }
 
   /** Gets the resources in use by a customer's runs. */
--- a/src/owner/moved_queue_test.ts
+++ b/src/owner/moved_queue_test.ts
@@ -144,6 +144,22 @@
   t.snapshot({ whileStoring, afterwards: getStarts(first) });
 });
 
+// Guards against a queue that waits for good for a record that its service no longer needs.
+test("tasks start at once in a service that the record of their queue has", (t) => {
+  const first = createFirstOwner(createConfiguration(1, "tugdesk"));
+  const setEvacuated = (zones: string[]) =>
+    first.owner.setPlannedActions({ evacuatedZones: new Set(zones), waves: new Map() });
+  setEvacuated([TUGDESK.zone]);
+  submit(first);
+  first.advance(() => {
+    first.owner.setConfiguration(createConfiguration(2, "berthbook"));
+    first.owner.setConfiguration(createConfiguration(3, "tugdesk"));
+    setEvacuated([]);
+    first.owner.flush();
+  });
+  t.deepEqual(getStarts(first), ["00000000000000a1.0.0.0 on tugdesk"]);
+});
+
 // Guards against a ceiling that leaves out runs at the earlier service of a queue.
 test("a task that may run at its queue's earlier service counts against its customer's ceiling", (t) => {
   const first = createFirstOwner(createConfiguration(1, "tugdesk"));
--- a/src/owner/queue_history.ts
+++ b/src/owner/queue_history.ts
@@ -4,6 +4,8 @@
 import type { JournalEntry } from "./owner_ports.ts";
 import { createQueueEntry, type StoredQueue } from "./queue_records.ts";
 
+const NO_SERVICES: ReadonlySet<string> = new Set();
+
 /** A journal entry that records a queue. */
 export interface QueueEntry {
   /** The entry. */
@@ -54,7 +56,7 @@
 
   /** Gets the services that may run tasks of a queue; none if the queue is not known. */
   getServices(name: string): ReadonlySet<string> {
-    return this.#services.get(name) ?? new Set();
+    return this.#services.get(name) ?? NO_SERVICES;
   }
 
   /** Gets whether a queue is not known, or its stored record has its present service. */
