--- a/src/platform/stand_in/process_soak.ts
+++ b/src/platform/stand_in/process_soak.ts
@@ -3,6 +3,7 @@
  * that come in series and overlap, while callers submit jobs, and a check of what runs.
  */
 
+import { setTimeout as delay } from "node:timers/promises";
 import { createRandom } from "./fleet_simulation.ts";
 import { HostProcess } from "./host_process.ts";
 import { RestartingExecutors } from "./restarting_executors.ts";
@@ -299,7 +300,3 @@
 function getTasks(id: string): string[] {
   return Array.from({ length: TASKS }, (_, index) => `${id}.0.0.${index}`);
 }
-
-function delay(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/src/platform/stand_in/soak_callers.ts
+++ b/src/platform/stand_in/soak_callers.ts
@@ -1,5 +1,6 @@
 /** Callers of a soak: submit jobs over connections that they keep open, and record what they are told. */
 
+import { setTimeout as delay } from "node:timers/promises";
 import { Pool } from "undici";
 import type { HostProcess } from "./host_process.ts";
 
@@ -111,7 +112,3 @@
     this.answers[answer] = (this.answers[answer] ?? 0) + 1;
   }
 }
-
-function delay(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
