State the remaining lease at the end of a hand-over

An owner that hands over reckoned its leases at once, when a start that was just being answered still counted as one of the longest lease. Its successor then waited for it at every silent executor.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -82,8 +82,8 @@
    */
   inDoubtMilliseconds: number;
   /**
-   * The same at executors whose hosts are down, in milliseconds: what they were told under an id, no
-   * later incarnation runs.
+   * The same at executors whose hosts are down, in milliseconds: no later incarnation of theirs can
+   * have accepted a start.
    */
   downInDoubtMilliseconds: number;
 }
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -494,19 +494,27 @@
   #handOver(reply: Reply<number>): void {
     this.#isHandingOver = true;
     this.#updateContext();
-    const { epoch, limits, log, previousClaim } = this.#options;
+    const { epoch, log } = this.#options;
+    log("hand-over-started", { epoch });
+    this.#rejectQueuedCalls();
+    const finish = () => {
+      const leaseMilliseconds = this.#getRemainingLeaseMilliseconds();
+      log("hand-over-done", { epoch, leaseMilliseconds: Math.round(leaseMilliseconds) });
+      reply(leaseMilliseconds);
+    };
+    if (this.#journal === undefined) return finish();
+    // Writes are stored in order, so this one is stored after all earlier ones. Meanwhile most starts
+    // are answered, so that their leases are known.
+    this.#journal.post({ kind: "write", entries: [], onStored: finish });
+  }
+
+  /** Gets how long leases of this owner and of earlier ones may remain, in milliseconds. */
+  #getRemainingLeaseMilliseconds(): number {
+    this.#updateContext();
+    const { limits, previousClaim } = this.#options;
     // Before the take-over is complete, only earlier owners have granted leases.
-    const leaseMilliseconds = this.#owner?.getRemainingLeaseMilliseconds() ??
+    return this.#owner?.getRemainingLeaseMilliseconds() ??
       getEarlierLeases(previousClaim, limits.longestLeaseMilliseconds).longestMilliseconds;
-    log("hand-over-started", { epoch, leaseMilliseconds: Math.round(leaseMilliseconds) });
-    this.#rejectQueuedCalls();
-    if (this.#journal === undefined) return reply(leaseMilliseconds);
-    // Writes are stored in order, so this one is stored after all earlier ones.
-    this.#journal.post({
-      kind: "write",
-      entries: [],
-      onStored: () => reply(leaseMilliseconds),
-    });
   }
 }
 
