Give each host of a soak an address and ports of its own

Cause, shown by a loop that creates hosts beside outgoing connections: EADDRINUSE in 2 of 249 starts, as an outgoing connection of 127.0.0.1 had taken the port between its choice and its use; and in 1 of 666 with an address of its own, as two of a host's three ports were the same.

Change: a host process uses a loopback address that no connection takes as its own, and its ports are chosen together. The error of a host that ends quotes its last lines.

--- a/src/platform/stand_in/host_process.ts
+++ b/src/platform/stand_in/host_process.ts
@@ -1,6 +1,7 @@
 /** An entry host as a process of its own, started with the program of the deploy file. */
 
 import { type ChildProcess, spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -9,7 +10,10 @@
 import { listen } from "../../links/listen.ts";
 
 const PROGRAM = fileURLToPath(new URL("../../platform_main.js", import.meta.url));
-const ADDRESS = "127.0.0.1";
+/** The bound of the two parts of a loopback address that are chosen. */
+const LOOPBACK_PARTS = 250;
+/** How many lines of a process that has ended are quoted. */
+const QUOTED_LINES = 3;
 
 /** The delay between two checks of a host's readiness, in milliseconds. */
 const READINESS_CHECK_INTERVAL_MILLISECONDS = 50;
@@ -38,19 +42,23 @@
   #process: ChildProcess;
   #exited: Promise<void>;
 
-  private constructor(options: HostProcessOptions, ports: readonly [number, number, number]) {
+  private constructor(
+    options: HostProcessOptions,
+    ip: string,
+    ports: readonly [number, number, number],
+  ) {
     const [callers, ready, peers] = ports;
     this.name = options.name;
-    this.callers = `http://${ADDRESS}:${callers}`;
-    this.#readiness = `http://${ADDRESS}:${ready}/-/readiness`;
+    this.callers = `http://${ip}:${callers}`;
+    this.#readiness = `http://${ip}:${ready}/-/readiness`;
     this.#folder = mkdtempSync(join(tmpdir(), "tanagerpin-"));
     this.#settingsPath = join(this.#folder, "local.yaml");
     const { graceMilliseconds } = options;
     const settings = {
       node: options.name,
-      ip: ADDRESS,
+      ip,
       zone: "zl-a",
-      listen: { front: `${ADDRESS}:${callers}`, ready: `${ADDRESS}:${ready}` },
+      listen: { front: `${ip}:${callers}`, ready: `${ip}:${ready}` },
       portRange: [peers, peers],
       limits: {},
       bounds: {
@@ -66,8 +74,9 @@
 
   /** Starts a host, and waits until it is ready. */
   static async create(options: HostProcessOptions): Promise<HostProcess> {
-    const ports = [await getFreePort(), await getFreePort(), await getFreePort()] as const;
-    const host = new HostProcess(options, ports);
+    const ip = chooseAddress();
+    const [callers, ready, peers] = await getFreePorts(ip, 3);
+    const host = new HostProcess(options, ip, [callers!, ready!, peers!]);
     await host.#waitUntilReady();
     return host;
   }
@@ -120,7 +129,8 @@
 
   async #isReady(): Promise<boolean> {
     if (this.#process.exitCode !== null || this.#process.signalCode !== null) {
-      throw new Error("the host's process has ended");
+      const lines = this.lines.slice(-QUOTED_LINES).join("\n");
+      throw new Error(`the process of ${this.name} has ended:\n${lines}`);
     }
     try {
       return (await fetch(this.#readiness)).status === 200;
@@ -130,9 +140,22 @@
   }
 }
 
-async function getFreePort(): Promise<number> {
-  const server = createServer();
-  const address = await listen(server, { host: ADDRESS, port: 0 });
-  await new Promise((resolve) => server.close(resolve));
-  return Number(address.split(":")[1]);
+/**
+ * Chooses a loopback address that no outgoing connection takes as its own: one of those could take a
+ * port while no process of the host listens on it.
+ */
+function chooseAddress(): string {
+  return `127.${randomInt(1, LOOPBACK_PARTS)}.${randomInt(1, LOOPBACK_PARTS)}.1`;
+}
+
+/** Gets different ports of an address that are free. */
+async function getFreePorts(ip: string, count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const addresses = await Promise.all(
+    servers.map((server) => listen(server, { host: ip, port: 0 })),
+  );
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  return addresses.map((address) => Number(address.split(":")[1]));
 }
