Move the doubts of a take-over out of FleetOwner

FleetOwner held the executors that have not reported since a take-over, the times until which their runs are in doubt and the decision about the tasks concerned, among the wiring of everything else. They are TakeOverControl now, in a module of its own. No change of behaviour.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -4,7 +4,6 @@
 import { Executor, ExecutorRecordState } from "../fleet/executor.ts";
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { Job, JobState } from "../fleet/job.ts";
-import { TaskState } from "../fleet/job.ts";
 import type { Host, HostOrderOutcome } from "../fleet/host.ts";
 import type { OperatorActions } from "../fleet/maintenance_wave.ts";
 import { type Advice, AdviceControl } from "./advice_control.ts";
@@ -15,20 +14,15 @@
 import { readStoredExecutors } from "./executor_records.ts";
 import { HostControl } from "./host_control.ts";
 import type { EarlierHostOrders } from "./host_order_records.ts";
-import { addResources, limitResources, NO_RESOURCES, type Resources } from "../fleet/resources.ts";
 import { createUrgencyRanking } from "./step_ranking.ts";
 import { createProgressEntry } from "./job_records.ts";
-import {
-  getExecutorId,
-  getIncarnationKey,
-  LATE_REPORT_MILLISECONDS,
-  PollControl,
-} from "./poll_control.ts";
+import { getExecutorId, getIncarnationKey, PollControl } from "./poll_control.ts";
 import { MaintenanceControl } from "./maintenance_control.ts";
 import { rankLeastLoaded } from "./placement.ts";
 import type { CapacityPolicy } from "./pool_need.ts";
 import { PaceControl } from "./pace_control.ts";
 import { readStoredQueues } from "./queue_records.ts";
+import { TakeOverControl } from "./take_over_control.ts";
 import { RunControl } from "./run_control.ts";
 import { RunHealth } from "./run_health.ts";
 import {
@@ -120,10 +114,7 @@
   readonly #hosts: HostControl;
   readonly #maintenance: MaintenanceControl;
   readonly #capacity: PoolSizeControl;
-  readonly #inDoubtUntil: number;
-  readonly #downInDoubtUntil: number;
-  /** The executors that earlier owners used and that have not answered this one, as recorded, by id. */
-  readonly #executorsInDoubt = new Map<string, ExecutorEntry>();
+  readonly #takeOver: TakeOverControl;
   /** The executors in the platform's list. */
   #executorEntries: readonly ExecutorEntry[] = [];
   #listRequestedAt = -Infinity;
@@ -149,13 +140,19 @@
       rankExecutor: rankLeastLoaded,
       getTicket: (step, executor) => this.#advice.getTicket(step, executor),
     });
-    this.#inDoubtUntil = options.startedAt + options.inDoubtMilliseconds;
-    this.#downInDoubtUntil = options.startedAt + options.downInDoubtMilliseconds;
+    const recorded = readStoredExecutors(options.stored);
+    const inDoubtUntil = options.startedAt + options.inDoubtMilliseconds;
+    this.#takeOver = TakeOverControl.create({
+      state: this.#state,
+      recorded,
+      inDoubtUntil,
+      downInDoubtUntil: options.startedAt + options.downInDoubtMilliseconds,
+    });
     this.#hosts = HostControl.create({
       state: this.#state,
       runs: this.#runs,
       earlierOrders: options.earlierHostOrders,
-      inDoubtUntil: this.#inDoubtUntil,
+      inDoubtUntil,
     });
     this.#maintenance = MaintenanceControl.create({
       state: this.#state,
@@ -173,14 +170,12 @@
     });
     for (const job of options.jobs) this.#jobs.restore(job);
     this.#state.storeQueues();
-    const recorded = readStoredExecutors(options.stored);
     for (const entry of recorded) {
-      this.#executorsInDoubt.set(entry.id, entry);
       this.#setExecutor(entry);
       this.#state.executors.get(entry.id)!.record = ExecutorRecordState.Stored;
     }
     this.setExecutors(options.executors);
-    this.#resolveUnknown();
+    this.#takeOver.resolve();
   }
 
   /** Creates an owner from the journal of earlier owners. */
@@ -225,7 +220,7 @@
     for (const executor of state.executors.values()) {
       executor.isListed = listedIncarnations.has(getIncarnationKey(executor.entry));
       const isIdle = !executor.isListed && executor.runs.size === 0 &&
-        !this.#executorsInDoubt.has(executor.id);
+        !this.#takeOver.isInDoubt(executor.id);
       // The executor may still be running: the list can lose entries along with the platform's
       // store and get them back later.
       if (isIdle) this.#polls.removeExecutor(executor, "no longer listed");
@@ -250,7 +245,7 @@
 
   /** Gets how long leases of this owner and of earlier ones may remain, in milliseconds. */
   getRemainingLeaseMilliseconds(): number {
-    let end = this.#executorsInDoubt.size > 0 ? this.#inDoubtUntil : -Infinity;
+    let end = this.#takeOver.getEndTime();
     for (const executor of this.#state.executors.values()) {
       end = Math.max(end, this.#polls.getLongestLeaseExpiryTime(executor));
     }
@@ -306,7 +301,7 @@
   /** Handles the answer to a poll. */
   handlePollAnswer(executorId: string, sentAt: number, answer: PollAnswer): void {
     this.#polls.handleAnswer(executorId, sentAt, answer);
-    this.#resolveUnknown();
+    this.#takeOver.resolve();
   }
 
   /** Sets the provider's host list, with the monotonic time at which it was requested. */
@@ -314,7 +309,7 @@
     this.#hosts.setHosts(hosts, requestedAt);
     this.#hosts.markDownExecutors();
     this.#handleLostHosts();
-    this.#resolveUnknown();
+    this.#takeOver.resolve();
     this.#clearMistakenEnds();
   }
 
@@ -337,7 +332,7 @@
   tick(): void {
     const state = this.#state;
     this.#jobs.tick();
-    this.#resolveUnknown();
+    this.#takeOver.resolve();
     if (state.now - this.#expiredRemovedAt > REMOVE_EXPIRED_INTERVAL_MILLISECONDS) {
       this.#expiredRemovedAt = state.now;
       this.#jobs.removeExpired();
@@ -416,12 +411,7 @@
    * reassigned since: none of their runs can still be executing.
    */
   #handleLostHosts(): void {
-    const state = this.#state;
-    for (const id of this.#executorsInDoubt.keys()) {
-      const executor = state.executors.get(id);
-      // An incarnation first seen after the take-over is not the one that the earlier owner used.
-      if (executor === undefined || executor.knownSince > state.startedAt) continue;
-      if (executor.hasAcceptedFence) continue;
+    for (const executor of this.#takeOver.getSilentExecutors()) {
       if (this.#hosts.hasLostHost(executor)) {
         this.#polls.handleExecutorEnded(executor, "host maintained or reassigned");
       }
@@ -453,57 +443,6 @@
     this.setExecutors(this.#executorEntries);
   }
 
-  /**
-   * Requeues the tasks in state `Unknown` that no run of an earlier owner can still be executing, nor
-   * can have completed unless the report of its end comes very late.
-   */
-  #resolveUnknown(): void {
-    const state = this.#state;
-    if (!state.hasUnknownTasks) return;
-    const mayReportLate = state.now < state.startedAt + LATE_REPORT_MILLISECONDS;
-    const servicesInDoubt = new Set<string>();
-    const servicesReportingLate = new Set<string>();
-    const capacity = { ...NO_RESOURCES };
-    for (const [id, recorded] of this.#executorsInDoubt) {
-      const executor = state.executors.get(id);
-      const isDown = executor?.isHostDownSince(state.startedAt) === true;
-      const mayBeRunning = state.now < (isDown ? this.#downInDoubtUntil : this.#inDoubtUntil);
-      // Ends that a cut list lacks come with the next ones, once those before are acknowledged.
-      const isReporting = executor?.hasAcceptedFence === true &&
-        executor.pollsFailingSince === undefined;
-      const isExpected = mayBeRunning || isReporting ||
-        (mayReportLate && executor?.isListed === true);
-      if (executor === undefined || executor.hasReportedAll || !isExpected) {
-        this.#executorsInDoubt.delete(id);
-        continue;
-      }
-      // An incarnation that is only listed may be of another service.
-      const services = [recorded.service, executor.entry.service];
-      for (const service of services) servicesReportingLate.add(service);
-      if (!mayBeRunning) continue;
-      for (const service of services) servicesInDoubt.add(service);
-      addResources(capacity, executor.entry.capacity);
-    }
-    const usage = new Map<string, Resources>();
-    for (const job of state.jobs.values()) {
-      if (job.outcome !== undefined) continue;
-      const isInDoubt = state.mayRunOnAnyOf(job.queue, servicesInDoubt);
-      const isReportingLate = state.mayRunOnAnyOf(job.queue, servicesReportingLate);
-      for (const task of job.getTasks()) {
-        if (task.state !== TaskState.Unknown) continue;
-        const { demand, isLasting } = task.step.specification;
-        if (isInDoubt) addUsage(usage, job.customer, demand);
-        else if (isLasting || !isReportingLate) state.resolveUnknownTask(task);
-      }
-    }
-    // Unreported runs cannot use more than the capacity of the executors that have not answered.
-    for (const resources of usage.values()) limitResources(resources, capacity);
-    state.inDoubtUsage = usage;
-    if (this.#executorsInDoubt.size === 0 && state.configuration.version > 0) {
-      state.hasUnknownTasks = false;
-    }
-  }
-
   /**
    * Writes the progress of changed jobs to the journal. The ends that an executor reported are
    * handled, written, stored and then acknowledged with its next poll, in this order.
@@ -558,9 +497,3 @@
   }
   return groups;
 }
-
-function addUsage(usage: Map<string, Resources>, customer: string, demand: Resources): void {
-  const total = usage.get(customer) ?? { ...NO_RESOURCES };
-  addResources(total, demand);
-  usage.set(customer, total);
-}
