Let the seed of a soak decide its schedule

The schedule and the callers of a soak drew from one random source, so that the order of answers changed the faults that followed, and a seed did not play the same schedule again. The schedule, each fault and the callers now have sources of their own. The hosts of a soak are SoakHosts, in a module of its own.

--- a/src/platform/stand_in/process_soak.ts
+++ b/src/platform/stand_in/process_soak.ts
@@ -5,9 +5,9 @@
 
 import { setTimeout as delay } from "node:timers/promises";
 import { createRandom } from "./fleet_simulation.ts";
-import { HostProcess } from "./host_process.ts";
 import { RestartingExecutors } from "./restarting_executors.ts";
-import { type CutRequest, SoakCallers, type SoakSubmission } from "./soak_callers.ts";
+import { SoakCallers, type SoakSubmission } from "./soak_callers.ts";
+import { SoakHosts } from "./soak_hosts.ts";
 import { StoreFault, StoreStandIn } from "./store_stand_in.ts";
 
 const SERVICES = ["berthbook", "anchorline"];
@@ -20,14 +20,11 @@
 /** One in this many jobs is long-running, and one is on the route that comes and goes. */
 const SPECIAL_JOB_INTERVAL = 12;
 const MAXIMUM_FAULT_INTERVAL_MILLISECONDS = 1_200;
-const GRACE_MILLISECONDS = 4_000;
-const RESTART_DELAY_MILLISECONDS = 300;
-const MAXIMUM_PAUSE_MILLISECONDS = 4_000;
+/** The bound of the seeds that the schedule draws for its faults. */
+const MAXIMUM_SEED = 2 ** 31;
 const MAXIMUM_MUTE_MILLISECONDS = 9_000;
 const MAXIMUM_ENTRY_DELAY_MILLISECONDS = 1_500;
 const MAXIMUM_STORE_OUTAGE_MILLISECONDS = 1_500;
-/** How long after a disturbance a host counts as disturbed, in milliseconds. */
-const CONTACT_MILLISECONDS = 3_000;
 /** How long after the last fault each task must be done or at work, in milliseconds. */
 const COMPLETION_TIMEOUT_MILLISECONDS = 45_000;
 
@@ -56,25 +53,19 @@
 /** Owns the stand-ins, the hosts and the schedule of one soak. */
 export class ProcessSoak {
   readonly #options: SoakOptions;
-  readonly #random: () => number;
   readonly #store: StoreStandIn;
   readonly #executors: RestartingExecutors;
   readonly #executorIds: string[] = [];
-  readonly #hosts: HostProcess[] = [];
-  /** The hosts that are being stopped, killed or started again. */
-  readonly #restarting = new Set<HostProcess>();
-  /** When the processes of each host were killed, paused or woken, on the monotonic clock. */
-  readonly #disturbances: { host: string; at: number }[] = [];
   readonly #submissions: Promise<SoakSubmission>[] = [];
   readonly #disruptions: Promise<void>[] = [];
   readonly #counts: Record<string, number> = {};
+  #hosts: SoakHosts | undefined;
   #version = 0;
   #service = 0;
   #hasPassingRoute = false;
 
   private constructor(options: SoakOptions) {
     this.#options = options;
-    this.#random = createRandom(options.seed);
     this.#store = StoreStandIn.create();
     this.#executors = RestartingExecutors.create({
       store: this.#store,
@@ -100,21 +91,24 @@
       this.#executorIds.push(id);
       await this.#executors.start({ id, service: SERVICES[number % SERVICES.length]! });
     }
-    for (let number = 0; number < this.#options.hosts; number += 1) {
-      const graceMilliseconds = GRACE_MILLISECONDS;
-      this.#hosts.push(
-        await HostProcess.create({ name: `front-${number}`, store, graceMilliseconds }),
-      );
-    }
-    const callers = SoakCallers.create(this.#hosts, this.#random);
-    const endsAt = performance.now() + this.#options.faultMilliseconds;
-    await Promise.all([this.#submitJobs(callers, endsAt), this.#disturb(endsAt)]);
+    const { seed, hosts: hostCount, faultMilliseconds } = this.#options;
+    const hosts = await SoakHosts.create(hostCount, store);
+    this.#hosts = hosts;
+    const callers = SoakCallers.create(hosts.hosts, createRandom(seed + 1));
+    const endsAt = performance.now() + faultMilliseconds;
+    await Promise.all([this.#submitJobs(callers, endsAt), this.#disturb(hosts, endsAt)]);
     await Promise.all(this.#disruptions);
     const submissions = await Promise.all(this.#submissions);
     const open = await this.#waitForTasks(submissions);
     callers.close();
     return {
-      violations: [...this.#executors.violations, ...this.#findBrokenAnswers(submissions, callers)],
+      violations: [
+        ...this.#executors.violations,
+        ...this.#findRefusedRuns(submissions),
+        ...callers.cuts.filter((cut) => hosts.isPlanned(cut)).map(({ host, took }) =>
+          `${host} ended a request without an answer ${took} ms after it was sent`
+        ),
+      ],
       open,
       counts: { ...this.#counts, ...callers.answers, jobs: submissions.length },
     };
@@ -134,79 +128,35 @@
     }
   }
 
-  async #disturb(endsAt: number): Promise<void> {
-    const faults: Readonly<Record<string, () => Promise<void>>> = {
-      "stops": () => this.#stopHosts([this.#chooseHost()]),
-      "stops of all hosts": () => this.#stopHosts(this.#hosts),
-      "kills": () => this.#killHost(this.#chooseHost()),
-      "pauses": () => this.#pauseHost(this.#chooseHost()),
-      "reloads": () => this.#reloadHost(this.#chooseHost()),
-      "executor restarts": () => this.#restartExecutor(),
-      "silent executor restarts": () =>
-        this.#restartExecutor(this.#random() * MAXIMUM_MUTE_MILLISECONDS),
+  /** Starts faults that overlap. Each has a random source of its own, so that the seed decides. */
+  async #disturb(hosts: SoakHosts, endsAt: number): Promise<void> {
+    const faults: Readonly<Record<string, (random: () => number) => Promise<void>>> = {
+      "stops": (random) => hosts.stop([hosts.choose(random)], random),
+      "stops of all hosts": (random) => hosts.stop(hosts.hosts, random),
+      "kills": (random) => hosts.kill(hosts.choose(random)),
+      "pauses": (random) => hosts.pause(hosts.choose(random), random),
+      "reloads": (random) => hosts.reload(hosts.choose(random)),
+      "executor restarts": (random) => this.#restartExecutor(random, 0),
+      "silent executor restarts": (random) =>
+        this.#restartExecutor(random, random() * MAXIMUM_MUTE_MILLISECONDS),
       "moves of the queue": () => this.#moveQueue(),
       "changes of routes": () => this.#toggleRoute(),
-      "outages of the store": () => this.#refuseStoreCalls(),
+      "outages of the store": (random) => this.#refuseStoreCalls(random),
     };
     const names = Object.keys(faults);
+    const schedule = createRandom(this.#options.seed);
     while (performance.now() < endsAt) {
-      const name = names[Math.floor(this.#random() * names.length)]!;
+      const name = names[Math.floor(schedule() * names.length)]!;
       this.#counts[name] = (this.#counts[name] ?? 0) + 1;
-      this.#disruptions.push(faults[name]!());
-      await delay(this.#random() * MAXIMUM_FAULT_INTERVAL_MILLISECONDS);
+      const random = createRandom(Math.floor(schedule() * MAXIMUM_SEED));
+      this.#disruptions.push(faults[name]!(random));
+      await delay(schedule() * MAXIMUM_FAULT_INTERVAL_MILLISECONDS);
     }
   }
 
-  /** Stops hosts as the platform does for planned work, one of two with a second signal. */
-  async #stopHosts(hosts: readonly HostProcess[]): Promise<void> {
-    await Promise.all(hosts.map(async (host) => {
-      if (this.#restarting.has(host)) return;
-      this.#restarting.add(host);
-      host.signal("SIGTERM");
-      await delay(this.#random() * RESTART_DELAY_MILLISECONDS);
-      if (this.#random() < 0.5) host.signal("SIGTERM");
-      const killed = setTimeout(() => {
-        this.#recordDisturbance(host);
-        host.signal("SIGKILL");
-      }, GRACE_MILLISECONDS + MAXIMUM_PAUSE_MILLISECONDS);
-      await host.waitForExit();
-      clearTimeout(killed);
-      await this.#startAgain(host);
-    }));
-  }
-
-  async #killHost(host: HostProcess): Promise<void> {
-    if (this.#restarting.has(host)) return;
-    this.#restarting.add(host);
-    this.#recordDisturbance(host);
-    host.signal("SIGKILL");
-    await host.waitForExit();
-    await this.#startAgain(host);
-  }
-
-  async #startAgain(host: HostProcess): Promise<void> {
-    await delay(RESTART_DELAY_MILLISECONDS);
-    await host.restart();
-    this.#restarting.delete(host);
-  }
-
-  async #pauseHost(host: HostProcess): Promise<void> {
-    if (this.#restarting.has(host)) return;
-    host.signal("SIGSTOP");
-    this.#recordDisturbance(host);
-    await delay(this.#random() * MAXIMUM_PAUSE_MILLISECONDS);
-    host.signal("SIGCONT");
-    this.#recordDisturbance(host);
-  }
-
-  #reloadHost(host: HostProcess): Promise<void> {
-    if (!this.#restarting.has(host)) host.signal("SIGHUP");
-    return Promise.resolve();
-  }
-
-  async #restartExecutor(muteMilliseconds = 0): Promise<void> {
-    const id = this.#executorIds[Math.floor(this.#random() * this.#executorIds.length)]!;
-    const entryDelayMilliseconds = this.#random() * MAXIMUM_ENTRY_DELAY_MILLISECONDS;
+  async #restartExecutor(random: () => number, muteMilliseconds: number): Promise<void> {
+    const id = this.#executorIds[Math.floor(random() * this.#executorIds.length)]!;
+    const entryDelayMilliseconds = random() * MAXIMUM_ENTRY_DELAY_MILLISECONDS;
     await this.#executors.restart(id, { entryDelayMilliseconds, muteMilliseconds });
   }
 
@@ -222,9 +172,9 @@
     return Promise.resolve();
   }
 
-  async #refuseStoreCalls(): Promise<void> {
+  async #refuseStoreCalls(random: () => number): Promise<void> {
     this.#store.chooseFault = () => StoreFault.Busy;
-    await delay(this.#random() * MAXIMUM_STORE_OUTAGE_MILLISECONDS);
+    await delay(random() * MAXIMUM_STORE_OUTAGE_MILLISECONDS);
     this.#store.chooseFault = () => StoreFault.None;
   }
 
@@ -248,10 +198,6 @@
     });
   }
 
-  #chooseHost(): HostProcess {
-    return this.#hosts[Math.floor(this.#random() * this.#hosts.length)]!;
-  }
-
   /** Waits until each task of the accepted jobs is done or, if it is long-running, at work. */
   async #waitForTasks(submissions: readonly SoakSubmission[]): Promise<string[]> {
     const tasks = submissions.filter(({ isAccepted }) => isAccepted).flatMap(({ id }) =>
@@ -266,32 +212,16 @@
     return tasks.filter(isOpen);
   }
 
-  #findBrokenAnswers(submissions: readonly SoakSubmission[], callers: SoakCallers): string[] {
-    const started = submissions.filter(({ id, isRefused }) =>
-      isRefused && getTasks(id).some((task) => this.#executors.started.has(task))
-    );
-    return [
-      ...started.map(({ id }) => `${id} was refused and has run`),
-      ...callers.cuts.filter((cut) => this.#isPlanned(cut)).map(({ host, took }) =>
-        `${host} ended a request without an answer ${took} ms after it was sent`
-      ),
-    ];
-  }
-
-  /** Gets whether no process of a request's host was killed or paused around it. */
-  #isPlanned({ host, at, took }: CutRequest): boolean {
-    const since = at - took - CONTACT_MILLISECONDS;
-    return !this.#disturbances.some((other) =>
-      other.host === host && other.at >= since && other.at <= at
-    );
-  }
-
-  #recordDisturbance({ name }: HostProcess): void {
-    this.#disturbances.push({ host: name, at: performance.now() });
+  #findRefusedRuns(submissions: readonly SoakSubmission[]): string[] {
+    return submissions
+      .filter(({ id, isRefused }) =>
+        isRefused && getTasks(id).some((task) => this.#executors.started.has(task))
+      )
+      .map(({ id }) => `${id} was refused and has run`);
   }
 
   async #close(): Promise<void> {
-    for (const host of this.#hosts) await host.stop();
+    await this.#hosts?.close();
     this.#executors.close();
     this.#store.close();
   }
