Take a start that was never sent as not begun

Cause: an order without an answer counted as one that may be carried out, also if no connection had been opened for it.

Change: HttpLink tells whether a request was handed to an open connection; one that was not is aborted if its connection opens later.

--- a/src/owner/owner_ports.ts
+++ b/src/owner/owner_ports.ts
@@ -61,6 +61,8 @@
   Done: "done",
   /** No answer was received; the order may have been or may still be carried out. */
   Unanswered: "unanswered",
+  /** No connection was made in time, so that the order was not sent and never will be. */
+  NotSent: "not-sent",
   /** The executor has seen a higher fence. */
   Fenced: "fenced",
   /** The run number is not higher than that of a run that was stopped or ended there. */
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -130,6 +130,7 @@
         return;
       case OrderOutcome.Fenced:
         return state.setFenced(executorId);
+      case OrderOutcome.NotSent:
       case OrderOutcome.Unhealthy:
       case OrderOutcome.NoCapacity:
       case OrderOutcome.WrongIncarnation:
--- a/src/owner/silent_executor_test.ts
+++ b/src/owner/silent_executor_test.ts
@@ -112,3 +112,17 @@
   t.true(up >= 10_000 && up < 11_000, `${up} ms`);
   t.true(down >= 2_500 && down < 3_500, `${down} ms`);
 });
+
+// Guards against a task that waits for the lease of a start that no executor has got.
+test("a task whose start was not sent starts on another executor at once", (t) => {
+  const harness = createOwnerHarness({ configuration: CONFIGURATION, executors: EXECUTORS });
+  const { owner, starts, advance, reportNoRuns } = harness;
+  for (const executor of EXECUTORS) reportNoRuns(executor);
+  const specification = { ...NO_REPEATS, steps: [createStepSpecification()] };
+  advance(() => owner.submit({ id: "j", queue: "tugs", customer: "", specification }, () => {}));
+  for (let step = 0; step < 4; step += 1) advance();
+  const { executor, task, run } = starts[0]!;
+  advance(() => owner.handleStartAnswer(executor.id, task, run, { outcome: OrderOutcome.NotSent }));
+  t.is(starts.length, 2);
+  t.not(starts[1]!.executor.id, executor.id);
+});
--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -15,7 +15,7 @@
 import type { EventLog } from "../events/mod.ts";
 import { getErrorMessage } from "../errors/mod.ts";
 import { AdaptiveTimeout } from "./adaptive_timeout.ts";
-import { HttpLink, type LinkRequest, type LinkResponse } from "./http_link.ts";
+import { HttpLink, type LinkRequest, type LinkResponse, NoResponseError } from "./http_link.ts";
 import { parseJson } from "./store_client.ts";
 
 /** The maximum number of ends that an executor lists at a time. */
@@ -27,6 +27,7 @@
  * process, a restarted executor would be bound neither by the fence nor by the deadline.
  */
 export const START_SEND_LIMIT_MILLISECONDS = 1_600;
+const NOT_SENT = OrderOutcome.NotSent;
 const JSON_HEADERS = { "content-type": "application/json" };
 
 const orderResponseSchema = z.object({
@@ -113,7 +114,9 @@
       ...(order.deadline === 0 ? {} : { deadlineMs: order.deadline }),
       ...(order.waitMilliseconds === 0 ? {} : { waitMs: order.waitMilliseconds }),
     }, { waitMilliseconds: order.waitMilliseconds });
-    if (response === undefined) return { outcome: OrderOutcome.Unanswered };
+    if (response === undefined || response === NOT_SENT) {
+      return { outcome: OrderOutcome.Unanswered };
+    }
     if (response.status !== 200) {
       const outcome = decodeOutcome(response);
       return { outcome: outcome === OrderOutcome.Done ? OrderOutcome.Malformed : outcome };
@@ -178,18 +181,20 @@
     limits: RequestLimits = {},
   ): Promise<OrderAnswer> {
     const response = await this.#post(executor, path, body, limits);
-    if (response === undefined) return { outcome: OrderOutcome.Unanswered };
+    if (response === undefined || response === NOT_SENT) {
+      return { outcome: response ?? OrderOutcome.Unanswered };
+    }
     const parsed = orderResponseSchema.safeParse(parseJson(response.body));
     return { outcome: decodeOutcome(response), executorTime: parsed.data?.clockMs };
   }
 
-  /** Sends a request, and gets undefined if there is no response or no link can be made. */
+  /** Sends a request, and gets undefined if there is no response, and `NOT_SENT` if it was not sent. */
   async #post(
     executor: ExecutorEntry,
     path: string,
     body: unknown,
     limits: RequestLimits,
-  ): Promise<LinkResponse | undefined> {
+  ): Promise<LinkResponse | typeof NOT_SENT | undefined> {
     try {
       return await this.#request(executor, path, body, limits);
     } catch (error) {
@@ -199,7 +204,7 @@
         peer: executor.address,
         reason: getErrorMessage(error),
       });
-      return undefined;
+      return error instanceof NoResponseError && !error.isSent ? NOT_SENT : undefined;
     }
   }
 
--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher } from "undici";
 // Loading the whole package takes several times as long, which would delay each start of a host.
 import Pool from "undici/lib/dispatcher/pool.js";
-import { getErrorMessage, StepError } from "../errors/mod.ts";
+import { getErrorMessage, StepError, type StepErrorOptions } from "../errors/mod.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
 import { TransferDeadline } from "./transfer_deadline.ts";
 
@@ -12,8 +12,16 @@
 /** How long an idle connection is kept open, in milliseconds. */
 const KEEP_ALIVE_MILLISECONDS = 60_000;
 
-/** No response was received: the request may have been executed, or may be executed later. */
-export class NoResponseError extends StepError {}
+/** No response was received: a request that was sent may have been executed, or may be later. */
+export class NoResponseError extends StepError {
+  /** Whether the request may have been sent; otherwise it never will be. */
+  readonly isSent: boolean;
+
+  constructor(options: StepErrorOptions, isSent: boolean) {
+    super(options);
+    this.isSent = isSent;
+  }
+}
 
 /** An HTTP request. */
 export interface LinkRequest {
@@ -60,6 +68,8 @@
   readonly answer: Promise<LinkResponse>;
   /** Whether the request has timed out. */
   isTimedOut = false;
+  /** Whether the request has been handed to an open connection. */
+  isSent = false;
   readonly #request: LinkRequest;
   readonly #maximumResponseBytes: number;
   readonly #sentAt = performance.now();
@@ -108,7 +118,10 @@
     // After a pause of the process, connections open before timers notice that time has passed.
     const { sendLimitMilliseconds = Infinity } = this.#request;
     const isLate = this.#elapsedClock.getElapsed() > sendLimitMilliseconds;
-    if (!isLate && !this.isTimedOut) return;
+    if (!isLate && !this.isTimedOut) {
+      this.isSent = true;
+      return;
+    }
     this.isTimedOut = true;
     this.#abort("timed out before it was sent");
   }
@@ -209,7 +222,7 @@
         step: request.step,
         peer: this.address,
         cause: error,
-      });
+      }, collector.isSent);
     } finally {
       collector.close();
     }
