Wait no longer than before at executors whose hosts have moved on

An executor whose host is moving, under maintenance or has another executor can't have restarted under its id, as little as one whose host is down. Its unanswered starts waited for the longest lease all the same, though the provider's list shows it.

Change: the evidence of the list covers these hosts too, and is named after what it shows.

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -64,10 +64,10 @@
   /** Whether it accepts no new tasks because a planned action drains it. */
   isCordoned = false;
   /**
-   * When the newest host list was requested, on the monotonic clock, if its host is down according to
-   * that list; `-Infinity` otherwise.
+   * When the newest host list was requested, on the monotonic clock, if its host no longer runs it
+   * according to that list; `-Infinity` otherwise.
    */
-  hostDownAsOf = -Infinity;
+  hostLostAsOf = -Infinity;
   /** Whether its host has pending maintenance, for which it will be drained. */
   hasPendingMaintenance = false;
   /** Whether a poll is in flight. */
@@ -195,11 +195,11 @@
   }
 
   /**
-   * Gets whether its host was down at or after a time on the monotonic clock, so that it runs nothing
-   * that it was told before.
+   * Gets whether its host no longer ran it at or after a time on the monotonic clock, so that no later
+   * incarnation runs what it was told before.
    */
-  isHostDownSince(time: number): boolean {
-    return this.hostDownAsOf >= time;
+  isHostLostSince(time: number): boolean {
+    return this.hostLostAsOf >= time;
   }
 
   /**
@@ -209,12 +209,12 @@
   getLeaseExpiryTime(): number {
     const clock = this.#clock;
     if (clock === undefined) return -Infinity;
-    const isDown = this.pollsFailingSince !== undefined &&
-      this.isHostDownSince(this.pollsFailingSince);
+    const isLost = this.pollsFailingSince !== undefined &&
+      this.isHostLostSince(this.pollsFailingSince);
     const deadline = Math.max(
       this.#latestDeadline,
       this.#earlierDeadline,
-      isDown ? 0 : this.#strayDeadline,
+      isLost ? 0 : this.#strayDeadline,
     );
     const remaining = Math.max(0, deadline - clock.executorTime);
     return clock.receivedAt + remaining * SLOW_CLOCK_FACTOR;
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -76,10 +76,10 @@
    */
   inDoubtMilliseconds: number;
   /**
-   * The same at executors whose hosts are down, in milliseconds: no later incarnation of theirs can
-   * have accepted a start.
+   * The same at executors that their hosts no longer run, in milliseconds: no later incarnation of
+   * theirs can have accepted a start.
    */
-  downInDoubtMilliseconds: number;
+  lostInDoubtMilliseconds: number;
 }
 
 /** The minimum interval between removals of expired jobs, in milliseconds. */
@@ -146,7 +146,7 @@
       state: this.#state,
       recorded,
       inDoubtUntil,
-      downInDoubtUntil: options.startedAt + options.downInDoubtMilliseconds,
+      lostInDoubtUntil: options.startedAt + options.lostInDoubtMilliseconds,
     });
     this.#hosts = HostControl.create({
       state: this.#state,
@@ -307,7 +307,7 @@
   /** Sets the provider's host list, with the monotonic time at which it was requested. */
   setHosts(hosts: readonly Host[], requestedAt: number): void {
     this.#hosts.setHosts(hosts, requestedAt);
-    this.#hosts.markDownExecutors();
+    this.#hosts.markLostHosts();
     this.#handleLostHosts();
     this.#takeOver.resolve();
     this.#clearMistakenEnds();
--- a/src/owner/host_control.ts
+++ b/src/owner/host_control.ts
@@ -122,16 +122,17 @@
   }
 
   /**
-   * Marks the executors whose hosts are down, according to the list. A host that the list omits is
-   * down if its executor is not listed either.
+   * Marks the executors that their hosts no longer run, according to the list. A host that the list
+   * omits runs none if its executor is not listed either.
    */
-  markDownExecutors(): void {
+  markLostHosts(): void {
     for (const executor of this.#state.executors.values()) {
       const { host: name } = executor.entry;
       if (name === undefined) continue;
       const host = this.#hosts.get(name);
       const isDown = host === undefined ? !executor.isListed : host.state === HostState.Down;
-      executor.hostDownAsOf = isDown ? this.#listRequestedAt : -Infinity;
+      const isLost = isDown || this.hasLostHost(executor);
+      executor.hostLostAsOf = isLost ? this.#listRequestedAt : -Infinity;
     }
   }
 
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -336,7 +336,7 @@
       maintenanceMilliseconds: this.#options.maintenanceMilliseconds,
       executors: this.#executorEntries,
       inDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.longestMilliseconds),
-      downInDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.reckonedMilliseconds),
+      lostInDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.reckonedMilliseconds),
     });
     this.#owner.setPlannedActions(this.#plannedActions);
     this.#calls = CallControl.create({
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -415,7 +415,7 @@
     if (run.isLeaseKnown) return expiry;
     const { longestLeaseMilliseconds } = this.#state.limits;
     const settledAt = run.startSettledAt ?? this.#state.now;
-    if (executor.isHostDownSince(settledAt)) return expiry;
+    if (executor.isHostLostSince(settledAt)) return expiry;
     return Math.max(expiry, settledAt + getLeaseWaitMilliseconds(longestLeaseMilliseconds));
   }
 
--- a/src/owner/silent_executor_test.ts
+++ b/src/owner/silent_executor_test.ts
@@ -85,7 +85,7 @@
 });
 
 // Guards against a wait for the lease of an incarnation that can't have started.
-test("a start that was not answered is given up sooner if the executor's host is down", (t) => {
+test("a start that was not answered is given up sooner if the executor's host no longer runs it", (t) => {
   const getDelay = (state: HostState) => {
     const executors = EXECUTORS.map((entry) => ({ ...entry, host: `m-${entry.id}` }));
     const harness = createOwnerHarness({ configuration: CONFIGURATION, executors });
@@ -108,9 +108,12 @@
     for (; starts.length === 1 && elapsed < 20_000; elapsed += STEP_MILLISECONDS) advance();
     return elapsed;
   };
-  const [up, down] = [getDelay(HostState.Up), getDelay(HostState.Down)];
+  const up = getDelay(HostState.Up);
   t.true(up >= 10_000 && up < 11_000, `${up} ms`);
-  t.true(down >= 2_500 && down < 3_500, `${down} ms`);
+  for (const state of [HostState.Down, HostState.Moving, HostState.Maintenance]) {
+    const milliseconds = getDelay(state);
+    t.true(milliseconds >= 2_500 && milliseconds < 3_500, `${state}: ${milliseconds} ms`);
+  }
 });
 
 // Guards against a task that waits for the lease of a start that no executor has got.
--- a/src/owner/take_over_control.ts
+++ b/src/owner/take_over_control.ts
@@ -15,8 +15,8 @@
   recorded: readonly ExecutorEntry[];
   /** Until when runs may go on at executors that have not answered, on the monotonic clock. */
   inDoubtUntil: number;
-  /** The same at executors whose hosts are down. */
-  downInDoubtUntil: number;
+  /** The same at executors that their hosts no longer run. */
+  lostInDoubtUntil: number;
 }
 
 /** Decides when a task that no executor has reported can't be running any more. */
@@ -60,7 +60,7 @@
    * can have completed unless the report of its end comes very late.
    */
   resolve(): void {
-    const { state, inDoubtUntil, downInDoubtUntil } = this.#options;
+    const { state, inDoubtUntil, lostInDoubtUntil } = this.#options;
     if (!state.hasUnknownTasks) return;
     const mayReportLate = state.now < state.startedAt + LATE_REPORT_MILLISECONDS;
     const servicesInDoubt = new Set<string>();
@@ -68,8 +68,8 @@
     const capacity = { ...NO_RESOURCES };
     for (const [id, recorded] of this.#executors) {
       const executor = state.executors.get(id);
-      const isDown = executor?.isHostDownSince(state.startedAt) === true;
-      const mayBeRunning = state.now < (isDown ? downInDoubtUntil : inDoubtUntil);
+      const isLost = executor?.isHostLostSince(state.startedAt) === true;
+      const mayBeRunning = state.now < (isLost ? lostInDoubtUntil : inDoubtUntil);
       // Ends that a cut list lacks come with the next ones, once those before are acknowledged.
       const isReporting = executor?.hasAcceptedFence === true &&
         executor.pollsFailingSince === undefined;
--- a/src/owner/take_over_test.ts
+++ b/src/owner/take_over_test.ts
@@ -110,7 +110,7 @@
       stored: [silent, alive].map(createExecutorEntry).map(({ key, value }) => [key, value!]),
       jobs: [job],
       inDoubtMilliseconds: LONGEST_IN_DOUBT_MILLISECONDS,
-      downInDoubtMilliseconds: IN_DOUBT_MILLISECONDS,
+      lostInDoubtMilliseconds: IN_DOUBT_MILLISECONDS,
     });
     reportNoRuns(alive);
     if (!isListed) advance(() => owner.setExecutors([alive]));
--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -397,7 +397,7 @@
       maintenanceMilliseconds: MAINTENANCE_MILLISECONDS,
       executors: this.#getListedEntries(),
       inDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.longestMilliseconds),
-      downInDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.reckonedMilliseconds),
+      lostInDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.reckonedMilliseconds),
     });
     this.#calls = CallControl.create({
       owner: this.#owner,
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -29,8 +29,8 @@
   stored?: readonly (readonly [string, Uint8Array])[];
   /** How long the starts of earlier owners are in doubt, in milliseconds. */
   inDoubtMilliseconds?: number;
-  /** The same at executors whose hosts are down, in milliseconds. */
-  downInDoubtMilliseconds?: number;
+  /** The same at executors that their hosts no longer run, in milliseconds. */
+  lostInDoubtMilliseconds?: number;
 }
 
 /** An owner with the orders that it has issued. */
@@ -107,7 +107,7 @@
     }),
     maintenanceMilliseconds: 0,
     inDoubtMilliseconds: options.inDoubtMilliseconds ?? 0,
-    downInDoubtMilliseconds: options.downInDoubtMilliseconds ?? options.inDoubtMilliseconds ?? 0,
+    lostInDoubtMilliseconds: options.lostInDoubtMilliseconds ?? options.inDoubtMilliseconds ?? 0,
   });
   let now = 0;
   const advance = (action = ignore) => {
