--- a/src/platform/platform_host.ts
+++ b/src/platform/platform_host.ts
@@ -226,9 +226,9 @@
 
   /** Waits until no request is open, or until a time on the monotonic clock. */
   async #waitUntilIdle(until: number): Promise<void> {
-    do {
+    while (this.#callerListener.getPendingCount() > 0 && performance.now() < until) {
       await delay(STOP_CHECK_INTERVAL_MILLISECONDS);
-    } while (this.#callerListener.getPendingCount() > 0 && performance.now() < until);
+    }
   }
 
   #createFront(): FrontTask {
