Find starts after acknowledged ends in the soak

The stand-in executors noted two runs of a task at the same time only. A start after a run that had ended as done, whose end is acknowledged before or after, breaks the same promise and was not looked for.

RunHistory keeps the events of each task by incarnation, run and number of the end, and finds both. An end whose lease expired before the acknowledgement does not count. The soak takes the duration of its tasks and the kinds of its faults as options, and can keep what the hosts of a broken run have logged.

--- a/src/platform/restarts_in_processes_test.ts
+++ b/src/platform/restarts_in_processes_test.ts
@@ -38,7 +38,7 @@
 const delay = (milliseconds: number) => new Promise((resolve) => setTimeout(resolve, milliseconds));
 
 interface Result {
-  /** The tasks that ran on two executors at the same time. */
+  /** The tasks that ran twice. */
   violations: string[];
   /** The accepted jobs that were not completed in time, with their last state. */
   open: string[];
@@ -110,7 +110,7 @@
   executors.close();
   store.close();
   return {
-    violations: executors.violations,
+    violations: executors.history.violations,
     open: open.map((job, index) => `${job}: ${states[index]}`),
     notAccepted,
   };
--- a/src/platform/stand_in/executor_model.ts
+++ b/src/platform/stand_in/executor_model.ts
@@ -32,6 +32,20 @@
   stopCompletesAt?: number | undefined;
 }
 
+/** The end of a run, as an executor lists it. */
+export interface ModelEnd {
+  /** The number of the end, counted from 1 in each incarnation. */
+  number: number;
+  /** The task's name. */
+  task: string;
+  /** The number of the run. */
+  run: number;
+  /** How the run ended. */
+  end: RunEnd;
+  /** Whether the executor's lease has expired since. */
+  isLeaseExpiredSince: boolean;
+}
+
 /** Options of an `ExecutorModel`. */
 export interface ExecutorModelOptions {
   /** The total capacity. */
@@ -52,6 +66,8 @@
   onStart: (run: ModelRun) => void;
   /** Called when a run ends; `isAvailable` tells whether a long-running task was available. */
   onEnd: (run: ModelRun, end: RunEnd, isAvailable: boolean) => void;
+  /** Called when a poll acknowledges an end, which the executor then discards. */
+  onAcknowledged?: ((end: ModelEnd) => void) | undefined;
 }
 
 /** An order to start a run. */
@@ -71,7 +87,7 @@
   /** The running runs, by task name. */
   readonly running = new Map<string, ModelRun>();
   readonly #options: ExecutorModelOptions;
-  readonly #unacknowledgedEnds: { number: number; task: string; run: number; end: RunEnd }[] = [];
+  readonly #unacknowledgedEnds: ModelEnd[] = [];
   /** The highest run number of each task that was stopped or has ended here. */
   readonly #highestRuns = new Map<string, number>();
   #fence = 0;
@@ -132,7 +148,7 @@
       this.#unacknowledgedEnds.length > 0 &&
       this.#unacknowledgedEnds[0]!.number <= order.acknowledged
     ) {
-      this.#unacknowledgedEnds.shift();
+      this.#options.onAcknowledged?.(this.#unacknowledgedEnds.shift()!);
     }
     const { listedEnds = DEFAULT_LISTED_ENDS } = this.#options;
     return {
@@ -146,7 +162,7 @@
         usage: 0,
       })),
       ended: this.#unacknowledgedEnds.slice(0, listedEnds)
-        .map((end) => ({ ...end, checkpoint: "" })),
+        .map(({ number, task, run, end }) => ({ number, task, run, end, checkpoint: "" })),
       hasAllEnds: this.#unacknowledgedEnds.length < listedEnds,
     };
   }
@@ -178,6 +194,7 @@
   /** Ends the runs that have finished, were stopped or lost their lease by a time. */
   advance(now: number): void {
     const isLapsed = this.isLeaseExpired(now);
+    if (isLapsed) { for (const end of this.#unacknowledgedEnds) end.isLeaseExpiredSince = true; }
     for (const run of [...this.running.values()]) {
       if (isLapsed) this.#end(run, RunEnd.LeaseExpired, now);
       else if (now >= run.startedAt + run.plan.durationMilliseconds) {
@@ -198,6 +215,7 @@
       task: run.task,
       run: run.run,
       end,
+      isLeaseExpiredSince: false,
     });
     this.#options.onEnd(run, end, isAvailable);
   }
--- a/src/platform/stand_in/process_soak.ts
+++ b/src/platform/stand_in/process_soak.ts
@@ -15,7 +15,6 @@
 const LASTING_MARK = "f";
 const PASSING_MARK = "e";
 const TASKS = 4;
-const TASK_MILLISECONDS = 700;
 const JOB_INTERVAL_MILLISECONDS = 150;
 /** One in this many jobs is long-running, and one is on the route that comes and goes. */
 const SPECIAL_JOB_INTERVAL = 12;
@@ -28,6 +27,21 @@
 /** How long after the last fault each task must be done or at work, in milliseconds. */
 const COMPLETION_TIMEOUT_MILLISECONDS = 45_000;
 
+/** The kinds of faults. */
+export const SoakFault = {
+  Stop: "stops",
+  StopOfAllHosts: "stops of all hosts",
+  Kill: "kills",
+  Pause: "pauses",
+  Reload: "reloads",
+  ExecutorRestart: "executor restarts",
+  SilentExecutorRestart: "silent executor restarts",
+  QueueMove: "moves of the queue",
+  RouteChange: "changes of routes",
+  StoreOutage: "outages of the store",
+} as const;
+export type SoakFault = typeof SoakFault[keyof typeof SoakFault];
+
 /** Options of a soak. */
 export interface SoakOptions {
   /** The seed of the schedule. */
@@ -38,6 +52,12 @@
   hosts: number;
   /** The number of executors. */
   executors: number;
+  /** How long a task takes that is not long-running, in milliseconds. */
+  taskMilliseconds: number;
+  /** The kinds of faults that come, as named in `SoakFault`; all if unset. */
+  faults?: readonly SoakFault[] | undefined;
+  /** Called with what the hosts have logged, if a promise was broken. */
+  onBroken?: (lines: readonly string[]) => void;
 }
 
 /** What a soak has found. */
@@ -69,7 +89,8 @@
     this.#store = StoreStandIn.create();
     this.#executors = RestartingExecutors.create({
       store: this.#store,
-      getRunMilliseconds: (task) => task.startsWith(LASTING_MARK) ? Infinity : TASK_MILLISECONDS,
+      getRunMilliseconds: (task) =>
+        task.startsWith(LASTING_MARK) ? Infinity : options.taskMilliseconds,
     });
   }
 
@@ -101,27 +122,30 @@
     const submissions = await Promise.all(this.#submissions);
     const open = await this.#waitForTasks(submissions);
     callers.close();
+    const violations = [
+      ...this.#executors.history.violations,
+      ...this.#findRefusedRuns(submissions),
+      ...callers.cuts.filter((cut) => hosts.isPlanned(cut)).map(({ host, took }) =>
+        `${host} ended a request without an answer ${took} ms after it was sent`
+      ),
+    ];
+    if (violations.length + open.length > 0) this.#options.onBroken?.(hosts.getLines());
     return {
-      violations: [
-        ...this.#executors.violations,
-        ...this.#findRefusedRuns(submissions),
-        ...callers.cuts.filter((cut) => hosts.isPlanned(cut)).map(({ host, took }) =>
-          `${host} ended a request without an answer ${took} ms after it was sent`
-        ),
-      ],
+      violations,
       open,
       counts: { ...this.#counts, ...callers.answers, jobs: submissions.length },
     };
   }
 
   async #submitJobs(callers: SoakCallers, endsAt: number): Promise<void> {
+    const { taskMilliseconds } = this.#options;
     for (let number = 0; performance.now() < endsAt; number += 1) {
       const kind = number % SPECIAL_JOB_INTERVAL;
       const isLasting = kind === 0;
       const isPassing = kind === 1 && this.#hasPassingRoute;
       const mark = isLasting ? LASTING_MARK : isPassing ? PASSING_MARK : "0";
       const id = mark + number.toString(16).padStart(15, "0");
-      const step = { count: TASKS, cpu: 100, memMb: 10, estRuntimeMs: TASK_MILLISECONDS };
+      const step = { count: TASKS, cpu: 100, memMb: 10, estRuntimeMs: taskMilliseconds };
       const body = { taskSpec: "", steps: [{ ...step, longRunning: isLasting }] };
       this.#submissions.push(callers.submit(isPassing ? "/passing/" : "/berths/", id, body));
       await delay(JOB_INTERVAL_MILLISECONDS);
@@ -130,20 +154,20 @@
 
   /** Starts faults that overlap. Each has a random source of its own, so that the seed decides. */
   async #disturb(hosts: SoakHosts, endsAt: number): Promise<void> {
-    const faults: Readonly<Record<string, (random: () => number) => Promise<void>>> = {
-      "stops": (random) => hosts.stop([hosts.choose(random)], random),
-      "stops of all hosts": (random) => hosts.stop(hosts.hosts, random),
-      "kills": (random) => hosts.kill(hosts.choose(random)),
-      "pauses": (random) => hosts.pause(hosts.choose(random), random),
-      "reloads": (random) => hosts.reload(hosts.choose(random)),
-      "executor restarts": (random) => this.#restartExecutor(random, 0),
-      "silent executor restarts": (random) =>
+    const faults: Readonly<Record<SoakFault, (random: () => number) => Promise<void>>> = {
+      [SoakFault.Stop]: (random) => hosts.stop([hosts.choose(random)], random),
+      [SoakFault.StopOfAllHosts]: (random) => hosts.stop(hosts.hosts, random),
+      [SoakFault.Kill]: (random) => hosts.kill(hosts.choose(random)),
+      [SoakFault.Pause]: (random) => hosts.pause(hosts.choose(random), random),
+      [SoakFault.Reload]: (random) => hosts.reload(hosts.choose(random)),
+      [SoakFault.ExecutorRestart]: (random) => this.#restartExecutor(random, 0),
+      [SoakFault.SilentExecutorRestart]: (random) =>
         this.#restartExecutor(random, random() * MAXIMUM_MUTE_MILLISECONDS),
-      "moves of the queue": () => this.#moveQueue(),
-      "changes of routes": () => this.#toggleRoute(),
-      "outages of the store": (random) => this.#refuseStoreCalls(random),
+      [SoakFault.QueueMove]: () => this.#moveQueue(),
+      [SoakFault.RouteChange]: () => this.#toggleRoute(),
+      [SoakFault.StoreOutage]: (random) => this.#refuseStoreCalls(random),
     };
-    const names = Object.keys(faults);
+    const names = this.#options.faults ?? Object.values(SoakFault);
     const schedule = createRandom(this.#options.seed);
     while (performance.now() < endsAt) {
       const name = names[Math.floor(schedule() * names.length)]!;
@@ -206,8 +230,8 @@
     const until = performance.now() + COMPLETION_TIMEOUT_MILLISECONDS;
     const isOpen = (task: string) =>
       task.startsWith(LASTING_MARK)
-        ? !this.#executors.isRunning(task)
-        : !this.#executors.done.has(task);
+        ? !this.#executors.history.isRunning(task)
+        : !this.#executors.history.isDone(task);
     while (tasks.some(isOpen) && performance.now() < until) await delay(200);
     return tasks.filter(isOpen);
   }
@@ -215,7 +239,7 @@
   #findRefusedRuns(submissions: readonly SoakSubmission[]): string[] {
     return submissions
       .filter(({ id, isRefused }) =>
-        isRefused && getTasks(id).some((task) => this.#executors.started.has(task))
+        isRefused && getTasks(id).some((task) => this.#executors.history.isStarted(task))
       )
       .map(({ id }) => `${id} was refused and has run`);
   }
--- a/src/platform/stand_in/restarting_executors.ts
+++ b/src/platform/stand_in/restarting_executors.ts
@@ -2,6 +2,7 @@
 
 import { RunEnd } from "../../fleet/run.ts";
 import { RunExecutorStandIn } from "./run_executor_stand_in.ts";
+import { RunHistory } from "./run_history.ts";
 import type { StoreStandIn } from "./store_stand_in.ts";
 
 /** Options of `RestartingExecutors`. */
@@ -35,17 +36,11 @@
 
 /** Owns executors, one incarnation of each at a time. */
 export class RestartingExecutors {
-  /** The tasks that ran on two executors at the same time. */
-  readonly violations: string[] = [];
-  /** The tasks that were started. */
-  readonly started = new Set<string>();
-  /** The tasks of which a run has ended as done. */
-  readonly done = new Set<string>();
+  /** The runs on all executors. */
+  readonly history = RunHistory.create();
   readonly #options: RestartingExecutorsOptions;
   readonly #lives = new Map<string, ExecutorLife>();
   readonly #timers = new Set<NodeJS.Timeout>();
-  /** The executors on which each task runs. */
-  readonly #running = new Map<string, Set<RunExecutorStandIn>>();
 
   private constructor(options: RestartingExecutorsOptions) {
     this.#options = options;
@@ -65,15 +60,10 @@
   async restart(id: string, restart: ExecutorRestart): Promise<void> {
     const { executor, port, service } = this.#lives.get(id)!;
     executor.close();
-    for (const executors of this.#running.values()) executors.delete(executor);
+    this.history.addLoss(executor.incarnation);
     await this.#startLife({ id, service }, restart, port);
   }
 
-  /** Gets whether a task runs on any executor. */
-  isRunning(task: string): boolean {
-    return (this.#running.get(task)?.size ?? 0) > 0;
-  }
-
   /** Closes all executors. */
   close(): void {
     for (const timer of this.#timers) clearTimeout(timer);
@@ -91,8 +81,9 @@
       service,
       zone: "zl-a",
       planRun: (task) => ({ durationMilliseconds: getRunMilliseconds(task), end: RunEnd.Done }),
-      onStart: (task) => this.#handleStart(task, executor),
-      onEnd: (task, end) => this.#handleEnd(task, end, executor),
+      onStart: (run) => this.history.addStart(executor.incarnation, run),
+      onEnd: (run, end) => this.history.addEnd(executor.incarnation, run, end),
+      onAcknowledged: (end) => this.history.addAcknowledgement(executor.incarnation, end),
     });
     executor.isMute = muteMilliseconds > 0;
     const entry = await executor.listen(port);
@@ -113,19 +104,4 @@
     }, milliseconds);
     this.#timers.add(timer);
   }
-
-  #handleStart(task: string, executor: RunExecutorStandIn): void {
-    const executors = this.#running.get(task) ?? new Set();
-    this.#running.set(task, executors);
-    for (const other of executors) {
-      this.violations.push(`${task} on ${other.id} and ${executor.id}`);
-    }
-    executors.add(executor);
-    this.started.add(task);
-  }
-
-  #handleEnd(task: string, end: RunEnd, executor: RunExecutorStandIn): void {
-    this.#running.get(task)?.delete(executor);
-    if (end === RunEnd.Done) this.done.add(task);
-  }
 }
--- a/src/platform/stand_in/run_executor_stand_in.ts
+++ b/src/platform/stand_in/run_executor_stand_in.ts
@@ -8,7 +8,7 @@
 import type { RunEnd } from "../../fleet/run.ts";
 import { OrderOutcome } from "../../owner/owner_ports.ts";
 import { parseJson } from "../store_client.ts";
-import { ExecutorModel, type RunPlan } from "./executor_model.ts";
+import { ExecutorModel, type ModelEnd, type ModelRun, type RunPlan } from "./executor_model.ts";
 import { sendJson, StandInServer } from "./stand_in_server.ts";
 
 /** The interval at which a long poll checks for an ended run, in milliseconds. */
@@ -43,10 +43,12 @@
   zone: string;
   /** Plans the course of a run. */
   planRun: (task: string, run: number) => RunPlan;
-  /** Called with the task of each run that starts. */
-  onStart?: (task: string) => void;
-  /** Called with the task of each run that ends, and how it ended. */
-  onEnd?: (task: string, end: RunEnd) => void;
+  /** Called with each run that starts. */
+  onStart?: (run: ModelRun) => void;
+  /** Called with each run that ends, and how it ended. */
+  onEnd?: (run: ModelRun, end: RunEnd) => void;
+  /** Called with each end that is acknowledged. */
+  onAcknowledged?: (end: ModelEnd) => void;
 }
 
 /** An executor that runs no real tasks: each run lasts for its planned duration. */
@@ -79,12 +81,13 @@
       planRun: options.planRun,
       onStart: (run) => {
         this.starts.push(run.task);
-        options.onStart?.(run.task);
+        options.onStart?.(run);
       },
       onEnd: (run, end) => {
         this.#endCount += 1;
-        options.onEnd?.(run.task, end);
+        options.onEnd?.(run, end);
       },
+      onAcknowledged: options.onAcknowledged,
     });
     this.#timer = setInterval(
       () => this.#model.advance(performance.now()),
@@ -98,6 +101,11 @@
     return new RunExecutorStandIn(options);
   }
 
+  /** The id and the time of the start, which tell the incarnations apart. */
+  get incarnation(): string {
+    return `${this.id}/${this.#born}`;
+  }
+
   /** Listens on a loopback port, by default a free one, and returns the entry for the store. */
   async listen(port = 0): Promise<Record<string, unknown>> {
     const addr = await this.#server.listen(port);
--- a/src/platform/stand_in/soak_hosts.ts
+++ b/src/platform/stand_in/soak_hosts.ts
@@ -89,6 +89,11 @@
     );
   }
 
+  /** Gets what the hosts have logged, in the order of the hosts. */
+  getLines(): string[] {
+    return this.hosts.flatMap(({ name, lines }) => lines.map((line) => `${name} ${line}`));
+  }
+
   /** Ends all processes. */
   async close(): Promise<void> {
     await Promise.all(this.hosts.map((host) => host.stop()));
