Show that an acknowledgement discards ends of the next incarnation

Users saw tasks run twice.

The test of the client shows the same without processes: it polls an executor that has restarted at its address with the acknowledgement of an earlier end, and the report lacks the end of the incarnation that answers.

--- a/src/platform/executor_client_test.ts
+++ b/src/platform/executor_client_test.ts
@@ -155,3 +155,39 @@
     closed: await getOutcome("i-2", addresses.closed),
   }, { silent: OrderOutcome.Unanswered, closed: OrderOutcome.NotSent });
 });
+
+// Guards against a done task that starts again since nobody has seen its end.
+test("an acknowledgement does not discard ends of the next incarnation of an executor", async (t) => {
+  const createStandIn = () =>
+    RunExecutorStandIn.create({
+      id: "i-1",
+      service: "tugdesk",
+      zone: "zl-a",
+      planRun: () => ({ durationMilliseconds: 0, end: RunEnd.Done }),
+    });
+  const client = ExecutorClient.create(() => {});
+  const earlier = createStandIn();
+  const { addr, born } = await earlier.listen();
+  const executor = createListedExecutor({ address: String(addr), born: Number(born) });
+  const start = async (task: string) => {
+    const order = { executor, task, run: 1, text: "", fence: 1, checkpoint: "" };
+    await client.start({ ...order, deadline: 60_000 });
+  };
+  const poll = async (acknowledged: number) => {
+    const order = { executor, fence: 1, acknowledged, deadline: 0, waitMilliseconds: 0 };
+    const answer = await client.poll(order);
+    if (answer.outcome !== OrderOutcome.Done) return answer.outcome;
+    return answer.report.ended.map(({ number, task }) => `${number} ${task}`);
+  };
+  await start("j.0.0.0");
+  const before = await poll(0);
+  earlier.close();
+  const next = createStandIn();
+  t.teardown(() => (client.close(), next.close()));
+  await next.listen(Number(String(addr).split(":")[1]));
+  await start("j.0.0.1");
+  t.deepEqual({ before, after: [await poll(1), await poll(1)] }, {
+    before: ["1 j.0.0.0"],
+    after: [["1 j.0.0.1"], ["1 j.0.0.1"]],
+  });
+});
