Discard acknowledged ends in a model that nobody observes

The model of an executor passed each end to the optional observer while it took the end off its list. Without an observer the argument is not evaluated, so the end stays, and the loop goes on for good: since, a poll that acknowledges an end hangs any test whose model has no observer.

The end is taken off first.

Measured: hand_over_lease_test hung in its fourth test on (ended after 50 and 80 s of processor time, 3 of 8 passed); 8 of 8 pass now, in 1.2 s.

--- a/src/platform/stand_in/executor_model.ts
+++ b/src/platform/stand_in/executor_model.ts
@@ -148,7 +148,8 @@
       this.#unacknowledgedEnds.length > 0 &&
       this.#unacknowledgedEnds[0]!.number <= order.acknowledged
     ) {
-      this.#options.onAcknowledged?.(this.#unacknowledgedEnds.shift()!);
+      const end = this.#unacknowledgedEnds.shift()!;
+      this.#options.onAcknowledged?.(end);
     }
     const { listedEnds = DEFAULT_LISTED_ENDS } = this.#options;
     return {
