Log the incarnation, the number and the acknowledgement of an end

The lines of an owner named an executor without its incarnation, an end without its number, and no acknowledgement, so that an end which an acknowledgement for an earlier incarnation discards could not be told from one that was lost.

task-end and run-lost name the incarnation, task-end the number of the end; executor-lost and executor-restarted tell up to which number ends were to be acknowledged and up to which the executor has answered.

--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -115,6 +115,8 @@
       previousBorn: executor.entry.born,
       lost: reported.length,
       uncertain: assignedRuns.length - reported.length,
+      acknowledged: executor.lastStoredEnd,
+      discarded: executor.lastDiscardedEnd,
     });
     state.endedIncarnations.set(getIncarnationKey(executor.entry), state.now);
     for (const assigned of reported) {
@@ -220,7 +222,14 @@
     }
     if (executor.pollsFailingSince === undefined) {
       executor.pollsFailingSince = state.now;
-      state.log("executor-lost", { executor: executor.id, outcome, runs: executor.runs.size });
+      state.log("executor-lost", {
+        executor: executor.id,
+        born: executor.entry.born,
+        outcome,
+        runs: executor.runs.size,
+        acknowledged: executor.lastStoredEnd,
+        discarded: executor.lastDiscardedEnd,
+      });
     }
   }
 
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -193,6 +193,8 @@
       task: ended.task,
       run: ended.run,
       executor: executor.id,
+      born: executor.entry.born,
+      number: ended.number,
       end: ended.end,
       current: isCurrent,
     });
@@ -223,6 +225,7 @@
       task: task.name,
       run: run.number,
       executor: executor.id,
+      born: executor.entry.born,
       reason,
     });
     this.#state.removeRun(executor, assigned);
