Acknowledge ends only to the incarnation that has reported them

Callers saw tasks run a second time after they had been done. An acknowledgement names the number of an end, and each incarnation of an executor numbers its ends from 1. A poll repeated the last acknowledgement until a poll with it was answered, which for a long poll takes up to a second: an executor that restarted under its id meanwhile got it with the first poll over a new connection, and discarded ends of its own up to that number. The owner then found the runs neither running nor ended (run-lost, "not reported"), and started them again.

Expect-Instance names the id, so that no field of a poll can tell two incarnations apart. A connection can: it ends with the process that accepted it. Polls have a connection of their own now. ExecutorClient notes which incarnation has answered over it, and sends an acknowledgement only over that connection; over any other the poll acknowledges nothing, and its answer says so. A request that is bound to a connection fails as not sent if undici has replaced it. The owner repeats an acknowledgement until an answer confirms it, as before.

The simulated fleet delivers acknowledgements by the same contract.

--- a/src/fleet/executor.ts
+++ b/src/fleet/executor.ts
@@ -88,8 +88,6 @@
   lastWrittenEnd = 0;
   /** The sequence number of the last run end that is stored; the executor may discard ends up to it. */
   lastStoredEnd = 0;
-  /** The sequence number of the last run end that was acknowledged to the executor. */
-  lastAcknowledgedEnd = 0;
   /** The sequence number of the last run end whose acknowledgement the executor has answered. */
   lastDiscardedEnd = 0;
   /** The runs by task name. */
--- a/src/owner/cut_report_test.ts
+++ b/src/owner/cut_report_test.ts
@@ -39,6 +39,7 @@
   advance(() =>
     owner.handlePollAnswer(id, Number.MAX_SAFE_INTEGER, {
       outcome: OrderOutcome.Done,
+      acknowledged: 0,
       report: whole,
     })
   );
--- a/src/owner/moved_queue_test.ts
+++ b/src/owner/moved_queue_test.ts
@@ -84,6 +84,7 @@
   harness.advance(() =>
     harness.owner.handlePollAnswer(executor.id, Number.MAX_SAFE_INTEGER, {
       outcome: OrderOutcome.Done,
+      acknowledged: 0,
       report,
     })
   );
--- a/src/owner/owner_ports.ts
+++ b/src/owner/owner_ports.ts
@@ -47,7 +47,10 @@
   executor: ExecutorEntry;
   /** The fence of the owner. */
   fence: number;
-  /** The number of the last end that the executor may discard. */
+  /**
+   * The number of the last end that the executor may discard. It reaches only the incarnation
+   * `executor.born`, and is left out where the port can't tell which one would get it.
+   */
   acknowledged: number;
   /** The end of the lease on the executor's clock, in milliseconds; 0 leaves the lease as it is. */
   deadline: number;
@@ -134,7 +137,12 @@
 
 /** The answer to a poll. */
 export type PollAnswer =
-  | { outcome: typeof OrderOutcome.Done; report: ExecutorReport }
+  | {
+    outcome: typeof OrderOutcome.Done;
+    /** The number of the last end that was acknowledged; 0 if the acknowledgement was left out. */
+    acknowledged: number;
+    report: ExecutorReport;
+  }
   | { outcome: Exclude<OrderOutcome, typeof OrderOutcome.Done> };
 
 /** A journal entry. The newest value of a key applies; an entry without a value deletes the key. */
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -73,6 +73,7 @@
     }
     const { born } = answer.report;
     if (born !== 0 && born !== executor.entry.born) return this.#handleOtherBorn(executor, born);
+    executor.lastDiscardedEnd = Math.max(executor.lastDiscardedEnd, answer.acknowledged);
     if (executor.record === ExecutorRecordState.None) this.#writeRecord(executor);
     if (executor.pollsFailingSince !== undefined) {
       state.log("executor-regained", {
@@ -172,7 +173,7 @@
     return !executor.hasReportedAll || executor.orphanRunCount > 0 ||
       executor.pollsFailingSince !== undefined ||
       executor.runs.size > 0 ||
-      executor.lastStoredEnd > executor.lastAcknowledgedEnd;
+      executor.lastStoredEnd > executor.lastDiscardedEnd;
   }
 
   #poll(executor: Executor): void {
@@ -187,12 +188,10 @@
     state.ports.poll({
       executor: executor.entry,
       fence: state.fence,
-      // Repeated needlessly, it could discard ends of a next incarnation, whose numbers start anew.
       acknowledged: executor.lastStoredEnd > executor.lastDiscardedEnd ? executor.lastStoredEnd : 0,
       deadline: mayExtend ? executor.grantLease(state.now, state.leaseMilliseconds) : 0,
       waitMilliseconds: mayWait ? LONG_POLL_MILLISECONDS : 0,
     });
-    executor.lastAcknowledgedEnd = executor.lastStoredEnd;
   }
 
   /** Handles an answer of an earlier incarnation, of which only a higher fence still matters. */
@@ -235,7 +234,6 @@
 
   #handleReport(executor: Executor, sentAt: number, report: ExecutorReport): void {
     const state = this.#state;
-    executor.lastDiscardedEnd = executor.lastAcknowledgedEnd;
     executor.recordClockReading({ executorTime: report.executorTime, receivedAt: state.now });
     if (!executor.hasAcceptedFence) {
       executor.hasAcceptedFence = true;
--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -15,18 +15,25 @@
 import type { EventLog } from "../events/mod.ts";
 import { getErrorMessage } from "../errors/mod.ts";
 import { AdaptiveTimeout } from "./adaptive_timeout.ts";
-import { HttpLink, type LinkRequest, type LinkResponse, NoResponseError } from "./http_link.ts";
+import {
+  HttpLink,
+  type LinkConnection,
+  type LinkRequest,
+  type LinkResponse,
+  NoResponseError,
+} from "./http_link.ts";
 import { parseJson } from "./store_client.ts";
 
 /** The maximum number of ends that an executor lists at a time. */
 const MAXIMUM_LISTED_ENDS = 500;
-/** The maximum number of connections to one executor: one for polls, the others for orders. */
-const MAXIMUM_CONNECTIONS = 4;
+/** The maximum number of connections to one executor for orders; polls have one of their own. */
+const MAXIMUM_ORDER_CONNECTIONS = 3;
 /**
  * How long after its decision a start may still be sent, in milliseconds: after a pause of this
  * process, a restarted executor would be bound neither by the fence nor by the deadline.
  */
 export const START_SEND_LIMIT_MILLISECONDS = 1_600;
+const POLL_PATH = "/-/hold";
 const NOT_SENT = OrderOutcome.NotSent;
 const JSON_HEADERS = { "content-type": "application/json" };
 
@@ -56,12 +63,19 @@
 
 const RUN_ENDS: ReadonlySet<string> = new Set(Object.values(RunEnd));
 
-/** How long a request may be held, and may still be sent. */
-type RequestLimits = Pick<LinkRequest, "waitMilliseconds" | "sendLimitMilliseconds">;
+/** How long a request may be held, and when and over which connection it may be sent. */
+type RequestLimits = Pick<
+  LinkRequest,
+  "waitMilliseconds" | "sendLimitMilliseconds" | "connection"
+>;
 
 /** The connections to one executor, and the timeout of its requests. */
 interface ExecutorLink {
-  link: HttpLink;
+  orders: HttpLink;
+  /** The link for polls, with one connection at a time. */
+  polls: HttpLink;
+  /** The connection over which a poll was answered last, and the incarnation that answered. */
+  answered: { connection: LinkConnection | undefined; born: number } | undefined;
   timeout: AdaptiveTimeout;
   /** The number of requests in flight. */
   pendingRequests: number;
@@ -106,16 +120,32 @@
     return this.#sendOrder(order.executor, "/-/pace", { task, run, percent, fence });
   }
 
-  /** Polls an executor: renews its lease, and gets its running and ended runs. */
+  /**
+   * Polls an executor: renews its lease, and gets its running and ended runs.
+   *
+   * Ends are acknowledged only over a connection on which the incarnation has answered before: the next
+   * one numbers its ends from 1 too, and would discard those that nobody has seen.
+   */
   async poll(order: PollOrder): Promise<PollAnswer> {
-    const response = await this.#post(order.executor, "/-/hold", {
+    const connection = this.#findConnection(order.executor);
+    if (order.acknowledged === 0 || connection === undefined) return await this.#sendPoll(order, 0);
+    const answer = await this.#sendPoll(order, order.acknowledged, connection);
+    return answer.outcome === NOT_SENT ? await this.#sendPoll(order, 0) : answer;
+  }
+
+  async #sendPoll(
+    order: PollOrder,
+    acknowledged: number,
+    connection?: LinkConnection,
+  ): Promise<PollAnswer> {
+    const response = await this.#post(order.executor, POLL_PATH, {
       fence: order.fence,
-      lastSeen: order.acknowledged,
+      lastSeen: acknowledged,
       ...(order.deadline === 0 ? {} : { deadlineMs: order.deadline }),
       ...(order.waitMilliseconds === 0 ? {} : { waitMs: order.waitMilliseconds }),
-    }, { waitMilliseconds: order.waitMilliseconds });
+    }, { waitMilliseconds: order.waitMilliseconds, connection });
     if (response === undefined || response === NOT_SENT) {
-      return { outcome: OrderOutcome.Unanswered };
+      return { outcome: response ?? OrderOutcome.Unanswered };
     }
     if (response.status !== 200) {
       const outcome = decodeOutcome(response);
@@ -132,8 +162,17 @@
       return { outcome: OrderOutcome.Malformed };
     }
     const { clockMs, born, running, ended } = parsed.data;
+    const { id, address } = order.executor;
+    const executorLink = this.#executorLinks.get(id);
+    if (executorLink?.polls.address === address) {
+      executorLink.answered = {
+        connection: response.connection,
+        born: born || order.executor.born,
+      };
+    }
     return {
       outcome: OrderOutcome.Done,
+      acknowledged,
       report: {
         born: born ?? 0,
         executorTime: clockMs,
@@ -161,16 +200,16 @@
    * in flight: the list may lose the entry of an executor that is still running.
    */
   closeIdleExcept(ids: ReadonlySet<string>): void {
-    for (const [id, { link, pendingRequests }] of this.#executorLinks) {
-      if (ids.has(id) || pendingRequests > 0) continue;
+    for (const [id, executorLink] of this.#executorLinks) {
+      if (ids.has(id) || executorLink.pendingRequests > 0) continue;
       this.#executorLinks.delete(id);
-      link.close();
+      closeLinks(executorLink);
     }
   }
 
   /** Closes all connections; pending requests are unanswered. */
   close(): void {
-    for (const { link } of this.#executorLinks.values()) link.close();
+    for (const executorLink of this.#executorLinks.values()) closeLinks(executorLink);
     this.#executorLinks.clear();
   }
 
@@ -215,7 +254,8 @@
     limits: RequestLimits,
   ): Promise<LinkResponse> {
     const executorLink = this.#getLink(executor);
-    const { link, timeout } = executorLink;
+    const { orders, polls, timeout } = executorLink;
+    const link = path === POLL_PATH ? polls : orders;
     executorLink.pendingRequests += 1;
     try {
       const response = await link.call({
@@ -237,18 +277,37 @@
     }
   }
 
+  /** Finds the open connection for polls on which an incarnation has answered the last poll. */
+  #findConnection({ id, born, address }: ExecutorEntry): LinkConnection | undefined {
+    const { answered, polls } = this.#executorLinks.get(id) ?? {};
+    const connection = polls?.getConnection();
+    const isAnswered = polls?.address === address && answered?.born === born &&
+      answered.connection === connection;
+    return isAnswered ? connection : undefined;
+  }
+
   #getLink(executor: ExecutorEntry): ExecutorLink {
     const { id, address } = executor;
     const existing = this.#executorLinks.get(id);
-    if (existing?.link.address === address) return existing;
-    const link = HttpLink.create({ address, connections: MAXIMUM_CONNECTIONS });
-    existing?.link.close();
-    const executorLink = { link, timeout: AdaptiveTimeout.create(), pendingRequests: 0 };
+    if (existing?.orders.address === address) return existing;
+    if (existing !== undefined) closeLinks(existing);
+    const executorLink = {
+      orders: HttpLink.create({ address, connections: MAXIMUM_ORDER_CONNECTIONS }),
+      polls: HttpLink.create({ address, connections: 1 }),
+      answered: undefined,
+      timeout: AdaptiveTimeout.create(),
+      pendingRequests: 0,
+    };
     this.#executorLinks.set(id, executorLink);
     return executorLink;
   }
 }
 
+function closeLinks({ orders, polls }: ExecutorLink): void {
+  orders.close();
+  polls.close();
+}
+
 function decodeOutcome(response: LinkResponse): OrderOutcome {
   switch (response.status) {
     case 200:
--- a/src/platform/http_link.ts
+++ b/src/platform/http_link.ts
@@ -23,6 +23,12 @@
   }
 }
 
+/**
+ * The identity of one connection, from its opening to its end. All responses over it are those of the
+ * process that has accepted it.
+ */
+export type LinkConnection = symbol;
+
 /** An HTTP request. */
 export interface LinkRequest {
   /** The name of the operation, for error messages. */
@@ -41,6 +47,8 @@
    * requests whose effect neither a fence nor a deadline prevents.
    */
   sendLimitMilliseconds?: number;
+  /** The only connection over which the request may be sent; any if unset. */
+  connection?: LinkConnection | undefined;
 }
 
 /** An HTTP response. */
@@ -50,6 +58,8 @@
   body: Buffer;
   /** The time until the headers arrived, without the requested wait, in milliseconds. */
   latencyMilliseconds: number;
+  /** The connection, if it is known: that of a link with more than one is not. */
+  connection: LinkConnection | undefined;
 }
 
 /** Options of an `HttpLink`. */
@@ -72,6 +82,8 @@
   isSent = false;
   readonly #request: LinkRequest;
   readonly #maximumResponseBytes: number;
+  readonly #getConnection: () => LinkConnection | undefined;
+  #connection: LinkConnection | undefined;
   readonly #sentAt = performance.now();
   /** Counts from the call, including the time in which the machine was suspended. */
   readonly #elapsedClock = ElapsedClock.create();
@@ -85,9 +97,14 @@
   #resolve!: (response: LinkResponse) => void;
   #reject!: (error: unknown) => void;
 
-  private constructor(request: LinkRequest, maximumResponseBytes: number) {
+  private constructor(
+    request: LinkRequest,
+    maximumResponseBytes: number,
+    getConnection: () => LinkConnection | undefined,
+  ) {
     this.#request = request;
     this.#maximumResponseBytes = maximumResponseBytes;
+    this.#getConnection = getConnection;
     this.#deadline = TransferDeadline.create({
       sentAt: this.#sentAt,
       sentBytes: Buffer.byteLength(request.body ?? ""),
@@ -100,9 +117,16 @@
     });
   }
 
-  /** Creates a collector, whose time limit starts to run. */
-  static create(request: LinkRequest, maximumResponseBytes: number): ResponseCollector {
-    const collector = new ResponseCollector(request, maximumResponseBytes);
+  /**
+   * Creates a collector, whose time limit starts to run, with a function that gets the connection over
+   * which the request is sent.
+   */
+  static create(
+    request: LinkRequest,
+    maximumResponseBytes: number,
+    getConnection: () => LinkConnection | undefined,
+  ): ResponseCollector {
+    const collector = new ResponseCollector(request, maximumResponseBytes, getConnection);
     collector.#checkDeadline();
     return collector;
   }
@@ -118,6 +142,11 @@
     // After a pause of the process, connections open before timers notice that time has passed.
     const { sendLimitMilliseconds = Infinity } = this.#request;
     const isLate = this.#elapsedClock.getElapsed() > sendLimitMilliseconds;
+    this.#connection = this.#getConnection();
+    const { connection } = this.#request;
+    if (connection !== undefined && connection !== this.#connection) {
+      throw new Error("the connection was replaced before it was sent");
+    }
     if (!isLate && !this.isTimedOut) {
       this.isSent = true;
       return;
@@ -144,7 +173,12 @@
   onResponseEnd(): void {
     const [first] = this.#chunks;
     const body = this.#chunks.length === 1 ? first! : Buffer.concat(this.#chunks);
-    this.#resolve({ status: this.#status, body, latencyMilliseconds: this.#latencyMilliseconds });
+    this.#resolve({
+      status: this.#status,
+      body,
+      latencyMilliseconds: this.#latencyMilliseconds,
+      connection: this.#connection,
+    });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -187,6 +221,8 @@
   readonly #maximumConnections: number;
   readonly #maximumResponseBytes: number;
   #pool: Pool;
+  /** The open connection of each pool, if the link has one connection at a time. */
+  readonly #connections = new WeakMap<Pool, LinkConnection>();
   /** The pools that were replaced and still complete their requests. */
   readonly #replacedPools = new Set<Pool>();
   #isClosed = false;
@@ -206,7 +242,11 @@
   /** Sends a request and gets the complete response, or throws a `NoResponseError`. */
   async call(request: LinkRequest): Promise<LinkResponse> {
     const pool = this.#pool;
-    const collector = ResponseCollector.create(request, this.#maximumResponseBytes);
+    const collector = ResponseCollector.create(
+      request,
+      this.#maximumResponseBytes,
+      () => this.#connections.get(pool),
+    );
     try {
       pool.dispatch({
         method: request.method,
@@ -228,6 +268,11 @@
     }
   }
 
+  /** Gets the open connection of a link that has one at a time; undefined if none is open. */
+  getConnection(): LinkConnection | undefined {
+    return this.#connections.get(this.#pool);
+  }
+
   /** Closes all connections; pending requests fail. */
   close(): void {
     this.#isClosed = true;
@@ -235,7 +280,7 @@
   }
 
   #createPool(): Pool {
-    return new Pool(`http://${this.address}`, {
+    const pool = new Pool(`http://${this.address}`, {
       connections: this.#maximumConnections,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
@@ -243,6 +288,11 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    if (this.#maximumConnections === 1) {
+      pool.on("connect", () => this.#connections.set(pool, Symbol("connection")));
+      pool.on("disconnect", () => this.#connections.delete(pool));
+    }
+    return pool;
   }
 
   /** Replaces the pool: after a timeout, its other connections may be dead too. */
--- a/src/platform/stand_in/executor_model.ts
+++ b/src/platform/stand_in/executor_model.ts
@@ -2,7 +2,7 @@
 
 import type { Resources } from "../../fleet/resources.ts";
 import { RunEnd } from "../../fleet/run.ts";
-import { type ExecutorReport, OrderOutcome } from "../../owner/owner_ports.ts";
+import { type ExecutorReport, OrderOutcome, type PollOrder } from "../../owner/owner_ports.ts";
 
 /** The maximum lease that an executor accepts, in milliseconds; it shortens longer ones. */
 export const MAXIMUM_LEASE_MILLISECONDS = 10_000;
@@ -103,6 +103,14 @@
     return new ExecutorModel(options);
   }
 
+  /**
+   * Gets what a poll may acknowledge here: an acknowledgement is sent only over a connection to the
+   * incarnation that is meant.
+   */
+  getDeliveredAcknowledgement({ executor, acknowledged }: PollOrder): number {
+    return executor.born === this.#options.born ? acknowledged : 0;
+  }
+
   /** Gets the time on the executor's clock, in milliseconds. */
   getExecutorTime(now: number): number {
     return Math.floor(now - this.#options.startedAt);
--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -584,8 +584,10 @@
       poll: (order) => {
         const sentAt = this.#now;
         let report: ReturnType<ExecutorModel["poll"]>;
+        let acknowledged = 0;
         this.#send(order.executor, (model) => {
-          report = model.poll(order, this.#now);
+          acknowledged = model.getDeliveredAcknowledgement(order);
+          report = model.poll({ ...order, acknowledged }, this.#now);
           const { falsifiedInput } = this.#options;
           if (report !== undefined && falsifiedInput?.report !== undefined) {
             report = falsifiedInput.report(report);
@@ -597,7 +599,7 @@
               order.executor.id,
               sentAt,
               outcome === OrderOutcome.Done && report !== undefined
-                ? { outcome, report }
+                ? { outcome, acknowledged, report }
                 : { outcome: OrderOutcome.Unanswered },
             )
           ));
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -129,7 +129,8 @@
   };
   const reportNoRuns = ({ id, born }: ExecutorEntry) => {
     const report = { born, executorTime: now, running: [], ended: [], hasAllEnds: true };
-    advance(() => owner.handlePollAnswer(id, now, { outcome: OrderOutcome.Done, report }));
+    const answer = { outcome: OrderOutcome.Done, acknowledged: 0, report };
+    advance(() => owner.handlePollAnswer(id, now, answer));
   };
   return { owner, starts, stops, moves, adviceRequests, journal, advance, reportNoRuns };
 }
