--- a/src/platform/executor_client_test.ts
+++ b/src/platform/executor_client_test.ts
@@ -1,3 +1,5 @@
+import type { ServerResponse } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import type { EventLog } from "../events/mod.ts";
 import { createListedExecutor } from "../stand_ins/fleet_fixtures.ts";
@@ -191,3 +193,132 @@
     after: [["1 j.0.0.1"], ["1 j.0.0.1"]],
   });
 });
+
+/** Starts a server that answers polls as one incarnation, and records their bodies. */
+async function startPolledServer(
+  answer: (body: Record<string, unknown>, response: ServerResponse) => void,
+) {
+  const bodies: Record<string, unknown>[] = [];
+  const server = StandInServer.create((_request, content, response) => {
+    const body = JSON.parse(content.toString());
+    bodies.push(body);
+    answer(body, response);
+  });
+  return { server, bodies, address: await server.listen() };
+}
+
+const REPORT = { clockMs: 5, born: 1, running: [], ended: [[1, "j.0.0.0", 1, "done", ""]] };
+
+// Guards against an incarnation that counts as silent while the poll of an earlier one is held.
+test("a poll does not wait for the answer to the poll of an earlier incarnation", async (t) => {
+  const { server, bodies, address } = await startPolledServer(({ waitMs }, response) => {
+    if (waitMs === undefined) sendJson(response, 200, { ...REPORT, born: 2 });
+  });
+  const client = ExecutorClient.create(() => {});
+  t.teardown(() => (client.close(), server.close()));
+  const poll = (born: number, waitMilliseconds: number) => {
+    const executor = createListedExecutor({ address, born });
+    return client.poll({ executor, fence: 1, acknowledged: 0, deadline: 0, waitMilliseconds });
+  };
+  void poll(1, 1_000);
+  while (bodies.length === 0) await delay(5);
+  t.is((await poll(2, 0)).outcome, OrderOutcome.Done);
+});
+
+// Guards against ends that an executor lists for good, until its lists are cut.
+test("ends are acknowledged to an executor that closes the connection after each response", async (t) => {
+  const { server, bodies, address } = await startPolledServer((_body, response) => {
+    response.setHeader("connection", "close");
+    sendJson(response, 200, REPORT);
+  });
+  const executor = createListedExecutor({ address, born: 1 });
+  const client = ExecutorClient.create(() => {});
+  t.teardown(() => (client.close(), server.close()));
+  const order = { executor, fence: 1, acknowledged: 1, deadline: 0, waitMilliseconds: 0 };
+  for (let count = 0; count < 10; count += 1) {
+    await client.poll(order);
+    await delay(25);
+  }
+  t.true(bodies.some(({ lastSeen }) => lastSeen === 1), JSON.stringify(bodies));
+});
+
+// Guards against an acknowledgement that is late by the time for which a poll may be held.
+test("a poll without the acknowledgement that is due is not held by the executor", async (t) => {
+  const { server, bodies, address } = await startPolledServer((_body, response) =>
+    sendJson(response, 200, REPORT)
+  );
+  const executor = createListedExecutor({ address, born: 1 });
+  const client = ExecutorClient.create(() => {});
+  t.teardown(() => (client.close(), server.close()));
+  const order = { executor, fence: 1, acknowledged: 1, deadline: 0, waitMilliseconds: 1_000 };
+  await client.poll(order);
+  await client.poll(order);
+  t.deepEqual(bodies.map(({ lastSeen, waitMs }) => ({ lastSeen, waitMs })), [
+    { lastSeen: 0, waitMs: undefined },
+    { lastSeen: 1, waitMs: 1_000 },
+  ]);
+});
+
+// Guards against an acknowledgement over a connection that was opened for another incarnation.
+test("no acknowledgement follows a change of the address, a timeout or another incarnation", async (t) => {
+  let born = 1;
+  let isSilent = false;
+  const answer = (_body: unknown, response: ServerResponse) => {
+    if (!isSilent) sendJson(response, 200, { ...REPORT, born });
+  };
+  const servers = [await startPolledServer(answer), await startPolledServer(answer)] as const;
+  const client = ExecutorClient.create(() => {});
+  t.teardown(() => (client.close(), servers.forEach(({ server }) => server.close())));
+  const acknowledged: Record<string, unknown> = {};
+  const poll = async (step: string, address = servers[0].address) => {
+    const executor = createListedExecutor({ address, born: 1 });
+    const order = { executor, fence: 1, acknowledged: 1, deadline: 0, waitMilliseconds: 0 };
+    const result = await client.poll(order);
+    acknowledged[step] = result.outcome === OrderOutcome.Done
+      ? result.acknowledged
+      : result.outcome;
+  };
+  await poll("first");
+  await poll("second");
+  await poll("elsewhere", servers[1].address);
+  await poll("back");
+  await poll("back, second");
+  isSilent = true;
+  await poll("silent");
+  isSilent = false;
+  await poll("after silence");
+  await poll("after silence, second");
+  servers[0].server.close();
+  servers[0].server.listen(Number(servers[0].address.split(":")[1]));
+  born = 2;
+  await poll("restarted");
+  await poll("restarted, second");
+  t.deepEqual(acknowledged, {
+    first: 0,
+    second: 1,
+    elsewhere: 0,
+    back: 0,
+    "back, second": 1,
+    silent: OrderOutcome.Unanswered,
+    "after silence": 0,
+    "after silence, second": 1,
+    restarted: 0,
+    "restarted, second": 0,
+  });
+});
+
+// Guards against a lease that an owner extends after it has ended, over a link that nobody closes.
+test("a closed client does not send a poll again", async (t) => {
+  const { server, bodies, address } = await startPolledServer((_body, response) =>
+    sendJson(response, 200, REPORT)
+  );
+  const executor = createListedExecutor({ address, born: 1 });
+  const client = ExecutorClient.create(() => {});
+  t.teardown(() => (client.close(), server.close()));
+  const order = { executor, fence: 1, acknowledged: 1, deadline: 0, waitMilliseconds: 0 };
+  await client.poll(order);
+  const poll = client.poll(order);
+  client.close();
+  t.not((await poll).outcome, OrderOutcome.Done);
+  t.is(bodies.length, 1);
+});
--- a/src/platform/http_link_test.ts
+++ b/src/platform/http_link_test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import { pauseProcess } from "../stand_ins/pause_process.ts";
-import { HttpLink } from "./http_link.ts";
+import { HttpLink, type LinkConnection, type NoResponseError } from "./http_link.ts";
 import { StandInServer } from "./stand_in/stand_in_server.ts";
 
 const IDLE_TIMEOUT_MILLISECONDS = 200;
@@ -68,3 +68,29 @@
   t.is(await getOutcome(links[0]!, "/later", { sendLimitMilliseconds }), "complete");
   t.deepEqual(received.sort(), ["/later", "/unlimited"]);
 });
+
+// Guards against a request for one process that reaches the next one at its address.
+test("a request that waits for its connection is not sent over the next one", async (t) => {
+  const received: string[] = [];
+  const server = StandInServer.create((request, _body, response) => {
+    received.push(request.url ?? "");
+    if (request.url === "/broken") setTimeout(() => request.socket.destroy(), 50);
+    else response.end();
+  });
+  const address = await server.listen();
+  const link = HttpLink.create({ address, connections: 1 });
+  t.teardown(() => (link.close(), server.close()));
+  const call = (path: string, connection?: LinkConnection) => {
+    const request = { step: "read", method: "POST", path, body: "{}", connection } as const;
+    return link.call({ ...request, idleTimeoutMilliseconds: PATIENCE_MILLISECONDS })
+      .then(() => "complete", (error: NoResponseError) => error.isSent ? "sent" : "not sent");
+  };
+  t.is(await call("/first"), "complete");
+  const connection = link.getConnection()!;
+  t.truthy(connection);
+  const broken = call("/broken", connection);
+  const outcomes = [broken, call("/bound", connection), call("/free")];
+  t.deepEqual(await Promise.all(outcomes), ["sent", "not sent", "complete"]);
+  t.deepEqual(received, ["/first", "/broken", "/free"]);
+  t.not(link.getConnection(), connection);
+});
