Keep polls and acknowledgements going where connections do not last

To an executor, or over a way, that closes each connection after a response, no end was ever acknowledged. A poll of the next incarnation waited behind a held poll of the earlier one, timed out and counted as silence. A client that was closed sent a poll a second time, over a link that nobody closed.

An ExecutorLink belongs to one incarnation, and is replaced with it. After four answers in a row over connections that did not last, an end is acknowledged over a new one, right after an answer. A poll that lacks an acknowledgement that is due is not held. A closed client sends nothing.

--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -14,26 +14,17 @@
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { EventLog } from "../events/mod.ts";
 import { getErrorMessage } from "../errors/mod.ts";
-import { AdaptiveTimeout } from "./adaptive_timeout.ts";
-import {
-  HttpLink,
-  type LinkConnection,
-  type LinkRequest,
-  type LinkResponse,
-  NoResponseError,
-} from "./http_link.ts";
+import { type ExecutorConnection, ExecutorLink } from "./executor_link.ts";
+import { type LinkRequest, type LinkResponse, NoResponseError } from "./http_link.ts";
 import { parseJson } from "./store_client.ts";
 
 /** The maximum number of ends that an executor lists at a time. */
 const MAXIMUM_LISTED_ENDS = 500;
-/** The maximum number of connections to one executor for orders; polls have one of their own. */
-const MAXIMUM_ORDER_CONNECTIONS = 3;
 /**
  * How long after its decision a start may still be sent, in milliseconds: after a pause of this
  * process, a restarted executor would be bound neither by the fence nor by the deadline.
  */
 export const START_SEND_LIMIT_MILLISECONDS = 1_600;
-const POLL_PATH = "/-/hold";
 const NOT_SENT = OrderOutcome.NotSent;
 const JSON_HEADERS = { "content-type": "application/json" };
 
@@ -69,22 +60,21 @@
   "waitMilliseconds" | "sendLimitMilliseconds" | "connection"
 >;
 
-/** The connections to one executor, and the timeout of its requests. */
-interface ExecutorLink {
-  orders: HttpLink;
-  /** The link for polls, with one connection at a time. */
-  polls: HttpLink;
-  /** The connection over which a poll was answered last, and the incarnation that answered. */
-  answered: { connection: LinkConnection | undefined; born: number } | undefined;
-  timeout: AdaptiveTimeout;
-  /** The number of requests in flight. */
-  pendingRequests: number;
+/** A request to an executor. */
+interface ExecutorRequest {
+  executor: ExecutorEntry;
+  /** Chooses the connection. */
+  choose: (link: ExecutorLink) => ExecutorConnection;
+  path: string;
+  body: unknown;
+  limits: RequestLimits;
 }
 
 /** Sends orders to executors, over separate connections to each. */
 export class ExecutorClient {
-  readonly #executorLinks = new Map<string, ExecutorLink>();
+  readonly #links = new Map<string, ExecutorLink>();
   readonly #log: EventLog;
+  #isClosed = false;
 
   private constructor(log: EventLog) {
     this.#log = log;
@@ -127,23 +117,46 @@
    * one numbers its ends from 1 too, and would discard those that nobody has seen.
    */
   async poll(order: PollOrder): Promise<PollAnswer> {
-    const connection = this.#findConnection(order.executor);
-    if (order.acknowledged === 0 || connection === undefined) return await this.#sendPoll(order, 0);
-    const answer = await this.#sendPoll(order, order.acknowledged, connection);
-    return answer.outcome === NOT_SENT ? await this.#sendPoll(order, 0) : answer;
+    const { executor, acknowledged } = order;
+    const choose = ({ polls }: ExecutorLink) => polls;
+    if (acknowledged === 0) {
+      return await this.#sendPoll(order, { choose, acknowledged, limits: {} });
+    }
+    const polls = this.#findLink(executor)?.polls;
+    const connection = polls?.findOpen(executor.born);
+    if (connection !== undefined || polls?.isWithholdingOver() === true) {
+      const answer = await this.#sendPoll(order, { choose, acknowledged, limits: { connection } });
+      if (answer.outcome !== NOT_SENT) {
+        polls?.recordAcknowledgement(false);
+        return answer;
+      }
+    }
+    const withheld = { ...order, waitMilliseconds: 0 };
+    const answer = await this.#sendPoll(withheld, { choose, acknowledged: 0, limits: {} });
+    if (answer.outcome === OrderOutcome.Done) {
+      this.#findLink(executor)?.polls.recordAcknowledgement(true);
+    }
+    return answer;
   }
 
   async #sendPoll(
     order: PollOrder,
-    acknowledged: number,
-    connection?: LinkConnection,
+    { choose, acknowledged, limits }: {
+      choose: ExecutorRequest["choose"];
+      acknowledged: number;
+      limits: RequestLimits;
+    },
   ): Promise<PollAnswer> {
-    const response = await this.#post(order.executor, POLL_PATH, {
+    const { executor } = order;
+    const { waitMilliseconds } = order;
+    const body = {
       fence: order.fence,
       lastSeen: acknowledged,
       ...(order.deadline === 0 ? {} : { deadlineMs: order.deadline }),
-      ...(order.waitMilliseconds === 0 ? {} : { waitMs: order.waitMilliseconds }),
-    }, { waitMilliseconds: order.waitMilliseconds, connection });
+      ...(waitMilliseconds === 0 ? {} : { waitMs: waitMilliseconds }),
+    };
+    const request = { executor, choose, path: "/-/hold", body };
+    const response = await this.#post({ ...request, limits: { ...limits, waitMilliseconds } });
     if (response === undefined || response === NOT_SENT) {
       return { outcome: response ?? OrderOutcome.Unanswered };
     }
@@ -162,13 +175,9 @@
       return { outcome: OrderOutcome.Malformed };
     }
     const { clockMs, born, running, ended } = parsed.data;
-    const { id, address } = order.executor;
-    const executorLink = this.#executorLinks.get(id);
-    if (executorLink?.polls.address === address) {
-      executorLink.answered = {
-        connection: response.connection,
-        born: born || order.executor.born,
-      };
+    const link = this.#findLink(executor);
+    if (link !== undefined) {
+      choose(link).recordAnswer(response.connection, born || executor.born);
     }
     return {
       outcome: OrderOutcome.Done,
@@ -200,17 +209,18 @@
    * in flight: the list may lose the entry of an executor that is still running.
    */
   closeIdleExcept(ids: ReadonlySet<string>): void {
-    for (const [id, executorLink] of this.#executorLinks) {
-      if (ids.has(id) || executorLink.pendingRequests > 0) continue;
-      this.#executorLinks.delete(id);
-      closeLinks(executorLink);
+    for (const [id, link] of this.#links) {
+      if (ids.has(id) || !link.isIdle()) continue;
+      this.#links.delete(id);
+      link.close();
     }
   }
 
-  /** Closes all connections; pending requests are unanswered. */
+  /** Closes all connections; pending requests are unanswered, and later ones not sent. */
   close(): void {
-    for (const executorLink of this.#executorLinks.values()) closeLinks(executorLink);
-    this.#executorLinks.clear();
+    this.#isClosed = true;
+    for (const link of this.#links.values()) link.close();
+    this.#links.clear();
   }
 
   async #sendOrder(
@@ -218,8 +228,9 @@
     path: string,
     body: unknown,
     limits: RequestLimits = {},
+    choose = (link: ExecutorLink) => link.chooseForOrder(),
   ): Promise<OrderAnswer> {
-    const response = await this.#post(executor, path, body, limits);
+    const response = await this.#post({ executor, choose, path, body, limits });
     if (response === undefined || response === NOT_SENT) {
       return { outcome: response ?? OrderOutcome.Unanswered };
     }
@@ -229,13 +240,12 @@
 
   /** Sends a request, and gets undefined if there is no response, and `NOT_SENT` if it was not sent. */
   async #post(
-    executor: ExecutorEntry,
-    path: string,
-    body: unknown,
-    limits: RequestLimits,
+    request: ExecutorRequest,
   ): Promise<LinkResponse | typeof NOT_SENT | undefined> {
+    const { executor, path } = request;
+    if (this.#isClosed) return NOT_SENT;
     try {
-      return await this.#request(executor, path, body, limits);
+      return await this.#request(request);
     } catch (error) {
       this.#log("executor-silent", {
         executor: executor.id,
@@ -248,17 +258,14 @@
   }
 
   async #request(
-    executor: ExecutorEntry,
-    path: string,
-    body: unknown,
-    limits: RequestLimits,
+    { executor, choose, path, body, limits }: ExecutorRequest,
   ): Promise<LinkResponse> {
     const executorLink = this.#getLink(executor);
-    const { orders, polls, timeout } = executorLink;
-    const link = path === POLL_PATH ? polls : orders;
-    executorLink.pendingRequests += 1;
+    const connection = choose(executorLink);
+    const { timeout } = executorLink;
+    connection.pendingRequests += 1;
     try {
-      const response = await link.call({
+      const response = await connection.link.call({
         step: path,
         method: "POST",
         path,
@@ -273,41 +280,25 @@
       timeout.recordFailure();
       throw error;
     } finally {
-      executorLink.pendingRequests -= 1;
+      connection.pendingRequests -= 1;
     }
   }
 
-  /** Finds the open connection for polls on which an incarnation has answered the last poll. */
-  #findConnection({ id, born, address }: ExecutorEntry): LinkConnection | undefined {
-    const { answered, polls } = this.#executorLinks.get(id) ?? {};
-    const connection = polls?.getConnection();
-    const isAnswered = polls?.address === address && answered?.born === born &&
-      answered.connection === connection;
-    return isAnswered ? connection : undefined;
+  #findLink({ id, address, born }: ExecutorEntry): ExecutorLink | undefined {
+    const link = this.#links.get(id);
+    return link?.address === address && link.born === born ? link : undefined;
   }
 
   #getLink(executor: ExecutorEntry): ExecutorLink {
-    const { id, address } = executor;
-    const existing = this.#executorLinks.get(id);
-    if (existing?.orders.address === address) return existing;
-    if (existing !== undefined) closeLinks(existing);
-    const executorLink = {
-      orders: HttpLink.create({ address, connections: MAXIMUM_ORDER_CONNECTIONS }),
-      polls: HttpLink.create({ address, connections: 1 }),
-      answered: undefined,
-      timeout: AdaptiveTimeout.create(),
-      pendingRequests: 0,
-    };
-    this.#executorLinks.set(id, executorLink);
-    return executorLink;
+    const existing = this.#findLink(executor);
+    if (existing !== undefined) return existing;
+    this.#links.get(executor.id)?.close();
+    const link = ExecutorLink.create(executor);
+    this.#links.set(executor.id, link);
+    return link;
   }
 }
 
-function closeLinks({ orders, polls }: ExecutorLink): void {
-  orders.close();
-  polls.close();
-}
-
 function decodeOutcome(response: LinkResponse): OrderOutcome {
   switch (response.status) {
     case 200:
