Send a start only to the incarnation that it is meant for

A start named the id of an executor only. An owner that wakes from a pause may start tasks for 0.6 s while its successor has taken over; at an executor that has restarted meanwhile, the fence that the successor has set is gone, and the task runs a second time beside the successor's run.

A start is sent now over a connection on which the incarnation has answered, or right after it has where connections do not last. A new connection is identified by a poll that asks for nothing; without its answer the start is not sent, so that nothing needs to be waited for.

--- a/src/owner/owner_ports.ts
+++ b/src/owner/owner_ports.ts
@@ -5,7 +5,7 @@
 
 /** An order to start a run. */
 export interface StartOrder {
-  /** The executor. */
+  /** The executor. The order is sent to no other incarnation than `executor.born`. */
   executor: ExecutorEntry;
   /** The task's name. */
   task: string;
--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -14,8 +14,14 @@
 import type { ExecutorEntry } from "../fleet/executor_entry.ts";
 import type { EventLog } from "../events/mod.ts";
 import { getErrorMessage } from "../errors/mod.ts";
+import { ElapsedClock } from "../tasks/mod.ts";
 import { type ExecutorConnection, ExecutorLink } from "./executor_link.ts";
-import { type LinkRequest, type LinkResponse, NoResponseError } from "./http_link.ts";
+import {
+  type LinkConnection,
+  type LinkRequest,
+  type LinkResponse,
+  NoResponseError,
+} from "./http_link.ts";
 import { parseJson } from "./store_client.ts";
 
 /** The maximum number of ends that an executor lists at a time. */
@@ -85,17 +91,47 @@
     return new ExecutorClient(log);
   }
 
-  /** Orders an executor to start a run. */
-  start(order: StartOrder): Promise<OrderAnswer> {
-    return this.#sendOrder(order.executor, "/-/run-start", {
+  /**
+   * Orders an executor to start a run.
+   *
+   * The start is sent once the incarnation has answered, over the same connection while that is open:
+   * the next one would neither know the fence of a later owner nor read the deadline on the same clock.
+   */
+  async start(order: StartOrder): Promise<OrderAnswer> {
+    const { executor, fence } = order;
+    const elapsedClock = ElapsedClock.create();
+    const getLimit = () => START_SEND_LIMIT_MILLISECONDS - elapsedClock.getElapsed();
+    let chosen: ExecutorConnection | undefined;
+    const choose = (link: ExecutorLink) => chosen ??= link.chooseForOrder();
+    const findConnection = () => {
+      const link = this.#findLink(executor);
+      return link && choose(link).findOpen(executor.born);
+    };
+    const body = {
       task: order.task,
       run: order.run,
       taskSpec: order.text,
       deadlineMs: order.deadline,
-      fence: order.fence,
+      fence,
       ...(order.checkpoint === "" ? {} : { lastCheckpoint: order.checkpoint }),
       ...(order.ticket === undefined ? {} : { ticket: order.ticket }),
-    }, { sendLimitMilliseconds: START_SEND_LIMIT_MILLISECONDS });
+    };
+    const send = (connection?: LinkConnection) => {
+      const limits = { sendLimitMilliseconds: getLimit(), connection };
+      return this.#sendOrder(executor, "/-/run-start", body, limits, choose);
+    };
+    const connection = findConnection();
+    if (connection !== undefined) return await send(connection);
+    const poll = { executor, fence, acknowledged: 0, deadline: 0, waitMilliseconds: 0 };
+    const limits = { sendLimitMilliseconds: getLimit() };
+    const identified = await this.#sendPoll(poll, { choose, acknowledged: 0, limits });
+    if (identified.outcome === OrderOutcome.Fenced) return { outcome: identified.outcome };
+    if (identified.outcome !== OrderOutcome.Done) return { outcome: NOT_SENT };
+    const { born } = identified.report;
+    if (born !== 0 && born !== executor.born) return { outcome: NOT_SENT };
+    const answer = await send(findConnection());
+    // The connection did not last, and the incarnation has answered a moment ago.
+    return answer.outcome === NOT_SENT ? await send() : answer;
   }
 
   /** Orders an executor to stop a run. */
