End the polls of an executor stand-in with its process

A poll that waited when a RunExecutorStandIn was closed went on for up to waitMs, and advanced the closed executor's runs: one that had not ended was recorded as done. In the soak a task that was lost with its executor then counted as done, so that its repetition could be missed or reported wrongly, and a task that never ran again was not listed as open.

A closed executor now carries out no order and gives up its polls. The test failed before (a run of 500 ms ended as done after the executor was closed 50 ms into it) and passes now.

--- a/src/platform/stand_in/run_executor_stand_in.ts
+++ b/src/platform/stand_in/run_executor_stand_in.ts
@@ -64,6 +64,7 @@
   readonly #model: ExecutorModel;
   readonly #born = Date.now();
   readonly #timer: NodeJS.Timeout;
+  #isClosed = false;
   #endCount = 0;
 
   private constructor(options: RunExecutorStandInOptions) {
@@ -126,11 +127,13 @@
 
   /** Closes the listening socket and all connections. */
   close(): void {
+    this.#isClosed = true;
     clearInterval(this.#timer);
     this.#server.close();
   }
 
   async #handle(request: IncomingMessage, body: Buffer, response: ServerResponse): Promise<void> {
+    if (this.#isClosed) return;
     const order = parseJson(body) as OrderBody;
     if (request.headers["expect-instance"] !== this.id) return this.#send(response, 421, {});
     const now = performance.now();
@@ -166,6 +169,7 @@
       performance.now() < until
     ) {
       await new Promise((resolve) => setTimeout(resolve, POLL_CHECK_INTERVAL_MILLISECONDS));
+      if (this.#isClosed) return;
       report = this.#model.poll(request, performance.now());
     }
     if (report === undefined) return this.#sendOutcome(response, OrderOutcome.Fenced);
