Soak hosts with late orders, cut links, a lossy store and new executors

The soak of separate processes restarted hosts and executors, but lost no order and no answer: an executor that carries out an unanswered order seconds later, a link that is cut in one direction, a store that loses or delays answers, a compaction, a loss of power and an id or an address that goes to another executor were in none of its schedules.

These are further kinds in SoakFault, each with a random source that the schedule seeds. A late order is carried out 2 to 12 s later by the same process, if its condition still holds, and never answered. Hosts connect from addresses of their own (a preloaded module sets them), so that executors and the store can lose what a part of the hosts sends. A host that was told to stop was killed as late when it started again slowly; the limit now ends with its old process. The report of a cut request names other hosts that were killed or paused near it.

--- a/src/platform/keyed_topic_task_test.ts
+++ b/src/platform/keyed_topic_task_test.ts
@@ -39,10 +39,10 @@
   let task: KeyedTopicTask | undefined;
   const chooseFault = store.chooseFault;
   const isReceived = await new Promise<boolean>((resolve) => {
-    store.chooseFault = (path): StoreFault => {
+    store.chooseFault = (path, host): StoreFault => {
       reads += 1;
       if (reads > MAXIMUM_READS) resolve(false);
-      return chooseFault(path);
+      return chooseFault(path, host);
     };
     task = KeyedTopicTask.create({
       store: client,
--- a/src/platform/stand_in/host_process.ts
+++ b/src/platform/stand_in/host_process.ts
@@ -10,6 +10,7 @@
 import { listen } from "../../links/listen.ts";
 
 const PROGRAM = fileURLToPath(new URL("../../platform_main.js", import.meta.url));
+const SOURCE_ADDRESS_MODULE = new URL("source_address.js", import.meta.url).href;
 /** The bound of the two parts of a loopback address that are chosen. */
 const LOOPBACK_PARTS = 250;
 /** How many lines of a process that has ended are quoted. */
@@ -34,6 +35,8 @@
   readonly name: string;
   /** The address of the jobs API. */
   readonly callers: string;
+  /** The address from which its processes connect to others. */
+  readonly sourceAddress: string;
   /** The lines that its processes have logged. */
   readonly lines: string[] = [];
   readonly #readiness: string;
@@ -49,6 +52,8 @@
   ) {
     const [callers, ready, peers] = ports;
     this.name = options.name;
+    // Not the address on which it listens: a connection could take a port there.
+    this.sourceAddress = ip.replace(/1$/, "2");
     this.callers = `http://${ip}:${callers}`;
     this.#readiness = `http://${ip}:${ready}/-/readiness`;
     this.#folder = mkdtempSync(join(tmpdir(), "tanagerpin-"));
@@ -107,8 +112,12 @@
   }
 
   #spawn(): [ChildProcess, Promise<void>] {
-    const started = spawn(process.execPath, [PROGRAM], {
-      env: { ...process.env, TANAGERPIN_BOOT: this.#settingsPath },
+    const started = spawn(process.execPath, ["--import", SOURCE_ADDRESS_MODULE, PROGRAM], {
+      env: {
+        ...process.env,
+        TANAGERPIN_BOOT: this.#settingsPath,
+        TANAGERPIN_SOURCE_ADDRESS: this.sourceAddress,
+      },
       stdio: ["ignore", "pipe", "inherit"],
     });
     let rest = "";
--- a/src/platform/stand_in/process_soak.ts
+++ b/src/platform/stand_in/process_soak.ts
@@ -7,10 +7,21 @@
 import { createRandom } from "./fleet_simulation.ts";
 import { RestartingExecutors } from "./restarting_executors.ts";
 import { SoakCallers, type SoakSubmission } from "./soak_callers.ts";
+import { SoakFault } from "./soak_fault.ts";
 import { SoakHosts } from "./soak_hosts.ts";
-import { StoreFault, StoreStandIn } from "./store_stand_in.ts";
+import { type LinkEnds, SoakLinks } from "./soak_links.ts";
+import { SoakStoreFaults } from "./soak_store_faults.ts";
+import { StoreStandIn } from "./store_stand_in.ts";
 
 const SERVICES = ["berthbook", "anchorline"];
+/** The topics whose records the store may discard, except for the newest of each key. */
+const KEYED_TOPICS = [
+  "keyed.op",
+  "keyed.servers",
+  "keyed.claims",
+  "keyed.journal",
+  "keyed.status",
+];
 /** The marks of the ids of jobs whose tasks run for good, and of jobs on a route that comes and goes. */
 const LASTING_MARK = "f";
 const PASSING_MARK = "e";
@@ -23,25 +34,15 @@
 const MAXIMUM_SEED = 2 ** 31;
 const MAXIMUM_MUTE_MILLISECONDS = 9_000;
 const MAXIMUM_ENTRY_DELAY_MILLISECONDS = 1_500;
-const MAXIMUM_STORE_OUTAGE_MILLISECONDS = 1_500;
+const MAXIMUM_DRAIN_MILLISECONDS = 2_000;
+const MAXIMUM_REMOVAL_DELAY_MILLISECONDS = 3_000;
+/** The probability that an executor that leaves for good drains before. */
+const DRAIN_PROBABILITY = 0.5;
+/** How long a loss of power waits for the next acceptance of a job, in milliseconds. */
+const ACCEPTANCE_TIMEOUT_MILLISECONDS = 2_000;
 /** How long after the last fault each task must be done or at work, in milliseconds. */
 const COMPLETION_TIMEOUT_MILLISECONDS = 45_000;
 
-/** The kinds of faults. */
-export const SoakFault = {
-  Stop: "stops",
-  StopOfAllHosts: "stops of all hosts",
-  Kill: "kills",
-  Pause: "pauses",
-  Reload: "reloads",
-  ExecutorRestart: "executor restarts",
-  SilentExecutorRestart: "silent executor restarts",
-  QueueMove: "moves of the queue",
-  RouteChange: "changes of routes",
-  StoreOutage: "outages of the store",
-} as const;
-export type SoakFault = typeof SoakFault[keyof typeof SoakFault];
-
 /** Options of a soak. */
 export interface SoakOptions {
   /** The seed of the schedule. */
@@ -74,12 +75,17 @@
 export class ProcessSoak {
   readonly #options: SoakOptions;
   readonly #store: StoreStandIn;
+  readonly #storeFaults: SoakStoreFaults;
+  readonly #links = SoakLinks.create();
   readonly #executors: RestartingExecutors;
   readonly #executorIds: string[] = [];
   readonly #submissions: Promise<SoakSubmission>[] = [];
   readonly #disruptions: Promise<void>[] = [];
   readonly #counts: Record<string, number> = {};
+  /** The faults that came, as lines beside those of the hosts. */
+  readonly #lines: string[] = [];
   #hosts: SoakHosts | undefined;
+  #executorCount = 0;
   #version = 0;
   #service = 0;
   #hasPassingRoute = false;
@@ -87,8 +93,10 @@
   private constructor(options: SoakOptions) {
     this.#options = options;
     this.#store = StoreStandIn.create();
+    this.#storeFaults = SoakStoreFaults.create(this.#store, createRandom(options.seed + 2));
     this.#executors = RestartingExecutors.create({
       store: this.#store,
+      links: this.#links,
       getRunMilliseconds: (task) =>
         task.startsWith(LASTING_MARK) ? Infinity : options.taskMilliseconds,
     });
@@ -108,7 +116,7 @@
     const store = await this.#store.listen();
     this.#publish();
     for (let number = 0; number < this.#options.executors; number += 1) {
-      const id = `i-${number}`;
+      const id = this.#createExecutorId();
       this.#executorIds.push(id);
       await this.#executors.start({ id, service: SERVICES[number % SERVICES.length]! });
     }
@@ -117,7 +125,7 @@
     this.#hosts = hosts;
     const callers = SoakCallers.create(hosts.hosts, createRandom(seed + 1));
     const endsAt = performance.now() + faultMilliseconds;
-    await Promise.all([this.#submitJobs(callers, endsAt), this.#disturb(hosts, endsAt)]);
+    await Promise.all([this.#submitJobs(callers, endsAt), this.#disturb(hosts, callers, endsAt)]);
     await Promise.all(this.#disruptions);
     const submissions = await Promise.all(this.#submissions);
     const open = await this.#waitForTasks(submissions);
@@ -125,15 +133,25 @@
     const violations = [
       ...this.#executors.history.violations,
       ...this.#findRefusedRuns(submissions),
-      ...callers.cuts.filter((cut) => hosts.isPlanned(cut)).map(({ host, took }) =>
-        `${host} ended a request without an answer ${took} ms after it was sent`
-      ),
+      ...callers.cuts.filter((cut) => hosts.isPlanned(cut)).map((cut) => {
+        const disturbed = hosts.getOtherDisturbed(cut).join(", ") || "none";
+        return `${cut.host} ended a request without an answer ${cut.took} ms after it was sent` +
+          ` (others that were killed or paused: ${disturbed})`;
+      }),
     ];
-    if (violations.length + open.length > 0) this.#options.onBroken?.(hosts.getLines());
+    if (violations.length + open.length > 0) {
+      this.#options.onBroken?.([...this.#lines, ...hosts.getLines()]);
+    }
     return {
       violations,
       open,
-      counts: { ...this.#counts, ...callers.answers, jobs: submissions.length },
+      counts: {
+        ...this.#counts,
+        ...this.#links.counts,
+        ...this.#storeFaults.counts,
+        ...callers.answers,
+        jobs: submissions.length,
+      },
     };
   }
 
@@ -153,7 +171,7 @@
   }
 
   /** Starts faults that overlap. Each has a random source of its own, so that the seed decides. */
-  async #disturb(hosts: SoakHosts, endsAt: number): Promise<void> {
+  async #disturb(hosts: SoakHosts, callers: SoakCallers, endsAt: number): Promise<void> {
     const faults: Readonly<Record<SoakFault, (random: () => number) => Promise<void>>> = {
       [SoakFault.Stop]: (random) => hosts.stop([hosts.choose(random)], random),
       [SoakFault.StopOfAllHosts]: (random) => hosts.stop(hosts.hosts, random),
@@ -165,13 +183,23 @@
         this.#restartExecutor(random, random() * MAXIMUM_MUTE_MILLISECONDS),
       [SoakFault.QueueMove]: () => this.#moveQueue(),
       [SoakFault.RouteChange]: () => this.#toggleRoute(),
-      [SoakFault.StoreOutage]: (random) => this.#refuseStoreCalls(random),
+      [SoakFault.StoreOutage]: (random) => this.#storeFaults.refuse(random),
+      [SoakFault.LateOrders]: (random) =>
+        this.#links.delayOrders(this.#chooseLinks(hosts, random), random),
+      [SoakFault.LinkCut]: (random) => this.#links.cut(this.#chooseLinks(hosts, random), random),
+      [SoakFault.StoreLoss]: (random) =>
+        this.#storeFaults.lose(SoakLinks.choosePart(hosts.getSourceAddresses(), random), random),
+      [SoakFault.Compaction]: () => this.#compactTopics(),
+      [SoakFault.PowerLoss]: () => this.#cutPower(hosts, callers),
+      [SoakFault.ExecutorReplacement]: (random) => this.#replaceExecutor(random, false),
+      [SoakFault.AddressTakeOver]: (random) => this.#replaceExecutor(random, true),
     };
     const names = this.#options.faults ?? Object.values(SoakFault);
     const schedule = createRandom(this.#options.seed);
     while (performance.now() < endsAt) {
       const name = names[Math.floor(schedule() * names.length)]!;
       this.#counts[name] = (this.#counts[name] ?? 0) + 1;
+      this.#lines.push(`soak time=${new Date().toISOString()} fault="${name}"`);
       const random = createRandom(Math.floor(schedule() * MAXIMUM_SEED));
       this.#disruptions.push(faults[name]!(random));
       await delay(schedule() * MAXIMUM_FAULT_INTERVAL_MILLISECONDS);
@@ -184,6 +212,46 @@
     await this.#executors.restart(id, { entryDelayMilliseconds, muteMilliseconds });
   }
 
+  /** Has an executor leave for good. No other fault chooses it from then on. */
+  async #replaceExecutor(random: () => number, keepsAddress: boolean): Promise<void> {
+    const index = Math.floor(random() * this.#executorIds.length);
+    const [id] = this.#executorIds.splice(index, 1);
+    if (id === undefined) return;
+    const replacement = {
+      id: this.#createExecutorId(),
+      drainMilliseconds: random() < DRAIN_PROBABILITY ? random() * MAXIMUM_DRAIN_MILLISECONDS : 0,
+      removalDelayMilliseconds: random() * MAXIMUM_REMOVAL_DELAY_MILLISECONDS,
+      entryDelayMilliseconds: random() * MAXIMUM_ENTRY_DELAY_MILLISECONDS,
+      keepsAddress,
+    };
+    await this.#executors.replace(id, replacement);
+    this.#executorIds.push(replacement.id);
+  }
+
+  #createExecutorId(): string {
+    const id = `i-${this.#executorCount}`;
+    this.#executorCount += 1;
+    return id;
+  }
+
+  #chooseLinks(hosts: SoakHosts, random: () => number): LinkEnds {
+    return {
+      hosts: SoakLinks.choosePart(hosts.getSourceAddresses(), random),
+      executors: SoakLinks.choosePart(this.#executorIds, random),
+    };
+  }
+
+  #compactTopics(): Promise<void> {
+    for (const topic of KEYED_TOPICS) this.#store.compact(topic);
+    return Promise.resolve();
+  }
+
+  /** Kills all hosts right after a job was accepted. */
+  async #cutPower(hosts: SoakHosts, callers: SoakCallers): Promise<void> {
+    await Promise.race([callers.waitForAcceptance(), delay(ACCEPTANCE_TIMEOUT_MILLISECONDS)]);
+    await hosts.killAll();
+  }
+
   #moveQueue(): Promise<void> {
     this.#service = (this.#service + 1) % SERVICES.length;
     this.#publish();
@@ -196,12 +264,6 @@
     return Promise.resolve();
   }
 
-  async #refuseStoreCalls(random: () => number): Promise<void> {
-    this.#store.chooseFault = () => StoreFault.Busy;
-    await delay(random() * MAXIMUM_STORE_OUTAGE_MILLISECONDS);
-    this.#store.chooseFault = () => StoreFault.None;
-  }
-
   #publish(): void {
     this.#version += 1;
     const createRoute = (name: string, service: number) => ({
--- a/src/platform/stand_in/restarting_executors.ts
+++ b/src/platform/stand_in/restarting_executors.ts
@@ -1,8 +1,10 @@
 /** Executors that crash and start again under their ids and addresses, and a check of their runs. */
 
+import { setTimeout as delay } from "node:timers/promises";
 import { RunEnd } from "../../fleet/run.ts";
 import { RunExecutorStandIn } from "./run_executor_stand_in.ts";
 import { RunHistory } from "./run_history.ts";
+import type { SoakLinks } from "./soak_links.ts";
 import type { StoreStandIn } from "./store_stand_in.ts";
 
 /** Options of `RestartingExecutors`. */
@@ -11,6 +13,8 @@
   store: StoreStandIn;
   /** Gets how long a run of a task lasts, in milliseconds; `Infinity` for a long-running task. */
   getRunMilliseconds: (task: string) => number;
+  /** The links to the hosts; they carry everything in time if unset. */
+  links?: SoakLinks;
 }
 
 /** The start of an executor. */
@@ -29,9 +33,24 @@
   muteMilliseconds: number;
 }
 
+/** How an executor leaves for good, and another one comes in its place. */
+export interface ExecutorReplacement {
+  /** The id of the other one. */
+  id: string;
+  /** How long the executor reports that it is draining before it ends; 0 for a crash. */
+  drainMilliseconds: number;
+  /** How long after its end it is still listed, in milliseconds. */
+  removalDelayMilliseconds: number;
+  /** How long the other one takes to register, in milliseconds. */
+  entryDelayMilliseconds: number;
+  /** Whether the other one gets its address. */
+  keepsAddress: boolean;
+}
+
 interface ExecutorLife extends ExecutorStart {
   executor: RunExecutorStandIn;
   port: number;
+  entry: Record<string, unknown>;
 }
 
 /** Owns executors, one incarnation of each at a time. */
@@ -64,6 +83,24 @@
     await this.#startLife({ id, service }, restart, port);
   }
 
+  /** Has an executor leave for good, and starts another one of its service. */
+  async replace(id: string, replacement: ExecutorReplacement): Promise<void> {
+    const { store } = this.#options;
+    const { drainMilliseconds, removalDelayMilliseconds, keepsAddress } = replacement;
+    const { executor, entry, port, service } = this.#lives.get(id)!;
+    if (drainMilliseconds > 0) {
+      store.put("keyed.servers", id, { ...entry, state: "draining", seq: 2 });
+      await delay(drainMilliseconds);
+    }
+    executor.close();
+    this.history.addLoss(executor.incarnation);
+    this.#lives.delete(id);
+    this.#schedule(removalDelayMilliseconds, () => store.put("keyed.servers", id, undefined));
+    const { entryDelayMilliseconds } = replacement;
+    const restart = { entryDelayMilliseconds, muteMilliseconds: 0 };
+    await this.#startLife({ id: replacement.id, service }, restart, keepsAddress ? port : 0);
+  }
+
   /** Closes all executors. */
   close(): void {
     for (const timer of this.#timers) clearTimeout(timer);
@@ -75,7 +112,7 @@
     { entryDelayMilliseconds, muteMilliseconds }: ExecutorRestart,
     port?: number,
   ): Promise<void> {
-    const { store, getRunMilliseconds } = this.#options;
+    const { store, getRunMilliseconds, links } = this.#options;
     const executor: RunExecutorStandIn = RunExecutorStandIn.create({
       id,
       service,
@@ -84,6 +121,8 @@
       onStart: (run) => this.history.addStart(executor.incarnation, run),
       onEnd: (run, end) => this.history.addEnd(executor.incarnation, run, end),
       onAcknowledged: (end) => this.history.addAcknowledgement(executor.incarnation, end),
+      getLateness: links && ((sender) => links.getLateness(sender, id)),
+      isAnswerLost: links && ((sender) => links.isAnswerLost(sender, id)),
     });
     executor.isMute = muteMilliseconds > 0;
     const entry = await executor.listen(port);
@@ -91,6 +130,7 @@
       id,
       service,
       executor,
+      entry,
       port: Number(String(entry["addr"]).split(":")[1]),
     });
     this.#schedule(muteMilliseconds, () => executor.isMute = false);
--- a/src/platform/stand_in/run_executor_stand_in.ts
+++ b/src/platform/stand_in/run_executor_stand_in.ts
@@ -49,8 +49,18 @@
   onEnd?: (run: ModelRun, end: RunEnd) => void;
   /** Called with each end that is acknowledged. */
   onAcknowledged?: (end: ModelEnd) => void;
+  /**
+   * Gets how late an order from an address is carried out and then left unanswered, in milliseconds:
+   * 0 for one that is carried out and answered in time, `Infinity` for one that is lost.
+   */
+  getLateness?: ((sender: string) => number) | undefined;
+  /** Gets whether an answer that is sent to an address now is lost. */
+  isAnswerLost?: ((sender: string) => boolean) | undefined;
 }
 
+/** Answers an order, unless the answer is lost. */
+type Answer = (status: number, body: unknown) => void;
+
 /** An executor that runs no real tasks: each run lasts for its planned duration. */
 export class RunExecutorStandIn {
   /** The executor's id. */
@@ -64,6 +74,8 @@
   readonly #model: ExecutorModel;
   readonly #born = Date.now();
   readonly #timer: NodeJS.Timeout;
+  /** The timers of the orders that are carried out late. */
+  readonly #lateOrders = new Set<NodeJS.Timeout>();
   #isClosed = false;
   #endCount = 0;
 
@@ -125,37 +137,57 @@
     };
   }
 
-  /** Closes the listening socket and all connections. */
+  /** Closes the listening socket and all connections. Orders that are late are not carried out. */
   close(): void {
     this.#isClosed = true;
     clearInterval(this.#timer);
+    for (const timer of this.#lateOrders) clearTimeout(timer);
     this.#server.close();
   }
 
   async #handle(request: IncomingMessage, body: Buffer, response: ServerResponse): Promise<void> {
+    const { getLateness, isAnswerLost } = this.#options;
+    const sender = request.socket.remoteAddress ?? "";
+    const lateness = getLateness?.(sender) ?? 0;
+    if (lateness === Infinity) return;
+    if (lateness > 0) return this.#carryOutLate(request, body, lateness);
+    await this.#carryOut(request, body, (status, content) => {
+      if (!this.isMute && !isAnswerLost?.(sender)) sendJson(response, status, content);
+    });
+  }
+
+  #carryOutLate(request: IncomingMessage, body: Buffer, lateness: number): void {
+    const timer = setTimeout(() => {
+      this.#lateOrders.delete(timer);
+      void this.#carryOut(request, body, () => {});
+    }, lateness);
+    this.#lateOrders.add(timer);
+  }
+
+  async #carryOut(request: IncomingMessage, body: Buffer, answer: Answer): Promise<void> {
     if (this.#isClosed) return;
     const order = parseJson(body) as OrderBody;
-    if (request.headers["expect-instance"] !== this.id) return this.#send(response, 421, {});
+    if (request.headers["expect-instance"] !== this.id) return answer(421, {});
     const now = performance.now();
     switch (request.url) {
       case "/-/run-start":
         return this.#sendOutcome(
-          response,
+          answer,
           this.#model.start({ ...order, deadline: order.deadlineMs ?? 0 }, now),
         );
       case "/-/run-stop":
         return this.#sendOutcome(
-          response,
+          answer,
           this.#model.stop(order.task, order.run, order.fence, now),
         );
       case "/-/hold":
-        return await this.#poll(response, order);
+        return await this.#poll(answer, order);
       default:
-        return this.#send(response, 404, {});
+        return answer(404, {});
     }
   }
 
-  async #poll(response: ServerResponse, order: OrderBody): Promise<void> {
+  async #poll(answer: Answer, order: OrderBody): Promise<void> {
     const request = {
       fence: order.fence,
       acknowledged: order.lastSeen ?? 0,
@@ -172,8 +204,8 @@
       if (this.#isClosed) return;
       report = this.#model.poll(request, performance.now());
     }
-    if (report === undefined) return this.#sendOutcome(response, OrderOutcome.Fenced);
-    this.#send(response, 200, {
+    if (report === undefined) return this.#sendOutcome(answer, OrderOutcome.Fenced);
+    answer(200, {
       clockMs: report.executorTime,
       born: report.born,
       running: report.running.map((row) => [
@@ -187,14 +219,10 @@
     });
   }
 
-  #send(response: ServerResponse, status: number, body: unknown): void {
-    if (!this.isMute) sendJson(response, status, body);
-  }
-
-  #sendOutcome(response: ServerResponse, outcome: OrderOutcome): void {
+  #sendOutcome(answer: Answer, outcome: OrderOutcome): void {
     const clockMs = this.#model.getExecutorTime(performance.now());
-    if (outcome === OrderOutcome.Done) return this.#send(response, 200, { clockMs });
-    this.#send(response, 409, { clockMs, reason: REASON_BY_OUTCOME[outcome] });
+    if (outcome === OrderOutcome.Done) return answer(200, { clockMs });
+    answer(409, { clockMs, reason: REASON_BY_OUTCOME[outcome] });
   }
 }
 
--- a/src/platform/stand_in/soak_callers.ts
+++ b/src/platform/stand_in/soak_callers.ts
@@ -49,6 +49,8 @@
   readonly #pools: ReadonlyMap<HostProcess, Pool>;
   readonly #hosts: readonly HostProcess[];
   readonly #random: () => number;
+  /** Called at the next acceptance of a job. */
+  readonly #waiting = new Set<() => void>();
 
   private constructor(hosts: readonly HostProcess[], random: () => number) {
     this.#hosts = hosts;
@@ -70,11 +72,17 @@
       if (attempt > 0) await delay(RETRY_DELAY_MILLISECONDS);
       const status = await this.#call(path + id, body);
       submission.isAccepted = status === 200;
+      if (submission.isAccepted) this.#reportAcceptance();
       if (!NOT_RUN_STATUSES.has(status)) submission.isRefused = false;
     }
     return submission;
   }
 
+  /** Waits until a job is accepted. */
+  waitForAcceptance(): Promise<void> {
+    return new Promise((resolve) => this.#waiting.add(resolve));
+  }
+
   /** Closes all connections. */
   close(): void {
     for (const pool of this.#pools.values()) void pool.destroy();
@@ -108,6 +116,11 @@
     }
   }
 
+  #reportAcceptance(): void {
+    for (const resolve of this.#waiting) resolve();
+    this.#waiting.clear();
+  }
+
   #count(answer: string): void {
     this.answers[answer] = (this.answers[answer] ?? 0) + 1;
   }
--- a/src/platform/stand_in/soak_hosts.ts
+++ b/src/platform/stand_in/soak_hosts.ts
@@ -18,6 +18,8 @@
   readonly hosts: readonly HostProcess[];
   /** The hosts that are being stopped, killed or started again. */
   readonly #restarting = new Set<HostProcess>();
+  /** The hosts that have been told to stop and haven't ended. */
+  readonly #stopping = new Set<HostProcess>();
   /** When the processes of each host were killed, paused or woken, on the monotonic clock. */
   readonly #disturbances: { host: string; at: number }[] = [];
 
@@ -40,6 +42,11 @@
     return this.hosts[Math.floor(random() * this.hosts.length)]!;
   }
 
+  /** Gets the addresses from which the hosts connect, in their order. */
+  getSourceAddresses(): string[] {
+    return this.hosts.map(({ sourceAddress }) => sourceAddress);
+  }
+
   /** Stops hosts as the platform does for planned work, some with a second signal. */
   async stop(hosts: readonly HostProcess[], random: () => number): Promise<void> {
     const signalDelays = hosts.map(() => random() * RESTART_DELAY_MILLISECONDS);
@@ -47,6 +54,7 @@
     await Promise.all(hosts.map(async (host, index) => {
       if (this.#restarting.has(host)) return;
       this.#restarting.add(host);
+      this.#stopping.add(host);
       host.signal("SIGTERM");
       await delay(signalDelays[index]);
       if (areRepeated[index]) host.signal("SIGTERM");
@@ -54,8 +62,9 @@
         () => this.#disturb(host, "SIGKILL"),
         GRACE_MILLISECONDS + MAXIMUM_PAUSE_MILLISECONDS,
       );
-      await this.#startAgain(host);
+      await host.waitForExit();
       clearTimeout(killing);
+      await this.#startAgain(host);
     }));
   }
 
@@ -67,6 +76,12 @@
     await this.#startAgain(host);
   }
 
+  /** Kills the processes of all hosts at once, also of those that are being stopped. */
+  async killAll(): Promise<void> {
+    for (const host of this.#stopping) this.#disturb(host, "SIGKILL");
+    await Promise.all(this.hosts.map((host) => this.kill(host)));
+  }
+
   /** Pauses a host's process for a while. */
   async pause(host: HostProcess, random: () => number): Promise<void> {
     if (this.#restarting.has(host)) return;
@@ -89,6 +104,15 @@
     );
   }
 
+  /** Gets the hosts other than a request's that were killed or paused around it. */
+  getOtherDisturbed({ host, at, took }: CutRequest): string[] {
+    const since = at - took - CONTACT_MILLISECONDS;
+    const others = this.#disturbances.filter((other) =>
+      other.host !== host && other.at >= since && other.at <= at
+    );
+    return [...new Set(others.map((other) => other.host))];
+  }
+
   /** Gets what the hosts have logged, in the order of the hosts. */
   getLines(): string[] {
     return this.hosts.flatMap(({ name, lines }) => lines.map((line) => `${name} ${line}`));
@@ -101,6 +125,7 @@
 
   async #startAgain(host: HostProcess): Promise<void> {
     await host.waitForExit();
+    this.#stopping.delete(host);
     await delay(RESTART_DELAY_MILLISECONDS);
     await host.restart();
     this.#restarting.delete(host);
--- a/src/platform/stand_in/store_stand_in.ts
+++ b/src/platform/stand_in/store_stand_in.ts
@@ -12,6 +12,8 @@
 const DEFAULT_MAXIMUM_READ_KB = 1_024;
 /** The interval at which a slow transfer goes on, in milliseconds. */
 const SLICE_MILLISECONDS = 10;
+/** How late a request is executed or answered if it is late, by default, in milliseconds. */
+const LATENESS_MILLISECONDS = 3_000;
 /** The number of a producer's latest appends whose repetition gets the original response. */
 const RETAINED_APPENDS = 5;
 
@@ -27,6 +29,10 @@
   AnswerLost: "lost-answer",
   /** The request is neither executed nor answered. */
   RequestLost: "silent",
+  /** The request is executed, and answered late. */
+  AnswerLate: "late-answer",
+  /** The request is executed late if its condition still holds, and not answered. */
+  ExecutedLate: "late-execution",
   /** The request is executed, and its response stops after half of the body. */
   Stalled: "stalled",
 } as const;
@@ -49,15 +55,17 @@
 /** Options of a `StoreStandIn`. */
 export interface StoreStandInOptions {
   /** Chooses the fault of a request by its path, including the query; no faults by default. */
-  chooseFault?: (path: string) => StoreFault;
+  chooseFault?: (path: string, host: string) => StoreFault;
   /** The rate at which each body is transferred, in bytes per millisecond; unlimited by default. */
   bytesPerMillisecond?: number;
 }
 
 /** An in-memory store. */
 export class StoreStandIn {
-  /** Chooses the fault of a request by its path, including the query. */
-  chooseFault: (path: string) => StoreFault;
+  /** Chooses the fault of a request by its path, including the query, and its sender's address. */
+  chooseFault: (path: string, host: string) => StoreFault;
+  /** Gets how late a request is executed or answered if it is late, in milliseconds. */
+  getLateness = () => LATENESS_MILLISECONDS;
   /** The number of requests by path. */
   readonly calls: Record<string, number> = {};
   readonly #partitions = new Map<string, StoredPartition>();
@@ -123,13 +131,15 @@
     const path = request.url ?? "/";
     const url = new URL(path, "http://store");
     this.calls[url.pathname] = (this.calls[url.pathname] ?? 0) + 1;
-    const fault = this.chooseFault(path);
+    const fault = this.chooseFault(path, request.socket.remoteAddress ?? "");
     if (fault === StoreFault.Busy) return sendJson(response, 503, {});
     if (fault === StoreFault.Reset) return void response.socket?.resetAndDestroy();
     if (fault === StoreFault.RequestLost) return;
     await delay(body.length / this.#bytesPerMillisecond);
+    if (fault === StoreFault.ExecutedLate) await delay(this.getLateness());
     const result = await this.#serve(url, body, request);
-    if (fault === StoreFault.AnswerLost) return;
+    if (fault === StoreFault.AnswerLost || fault === StoreFault.ExecutedLate) return;
+    if (fault === StoreFault.AnswerLate) await delay(this.getLateness());
     response.statusCode = result.status;
     if (fault === StoreFault.Stalled) {
       return void response.write(result.body.slice(0, result.body.length / 2));
