Find starts after acknowledged ends in the simulated fleet

The random runs checked two runs at the same time, and no start after a run that had ended as done and whose end is acknowledged before or after.

RunHistory takes its clock as an argument, and FleetSimulation and OwnerSuccession use it. The simulation restarts executors under their ids, listed late and silent for a while, and its owners crash, hand over, pause and act on after they wake (OwnerModel). A start for another incarnation is not sent, as the port promises.

--- a/src/owner/fleet_owner_test.ts
+++ b/src/owner/fleet_owner_test.ts
@@ -331,6 +331,17 @@
   t.deepEqual(detected, cases.map(([rule]) => [rule, true]));
 });
 
+// Guards against ends that the simulation does not record as acknowledged.
+test("the check of repeated tasks fails for an owner that loses acknowledged ends", (t) => {
+  const { violations } = simulate({
+    seed: 7,
+    faults: NO_FAULTS,
+    events: ["none", "none", "owner"],
+    falsifiedInput: { losesJournal: true },
+  });
+  t.true(violations.some((line) => /^TWICE: .* after its end was acknowledged/.test(line)));
+});
+
 test("each check of answers to callers fails for an owner with falsified input", (t) => {
   const without = (prefix: string) => (entries: [string, Uint8Array][]) =>
     entries.filter(([key]) => !key.startsWith(prefix));
--- a/src/owner/hand_over_lease_test.ts
+++ b/src/owner/hand_over_lease_test.ts
@@ -42,6 +42,7 @@
   await world.clock.tickAsync(8_000);
   world.stop();
   t.snapshot(world.events);
+  t.deepEqual(world.history.violations, []);
 });
 
 // Guards against a figure that covers only the leases of the owner that states it.
@@ -55,6 +56,7 @@
   await world.clock.tickAsync(8_000);
   world.stop();
   t.snapshot(world.events);
+  t.deepEqual(world.history.violations, []);
 });
 
 // Guards against a released claim without a figure after a take-over that was not completed.
@@ -84,6 +86,7 @@
   await world.clock.tickAsync(14_000);
   world.stop();
   t.snapshot(world.events);
+  t.deepEqual(world.history.violations, []);
 });
 
 // Guards against an owner that waits for a lease by the clock of an incarnation that has ended.
@@ -93,6 +96,7 @@
   await world.clock.tickAsync(14_000);
   world.stop();
   t.snapshot(world.events);
+  t.deepEqual(world.history.violations, []);
 });
 
 // Guards against an answer that is taken as one of the incarnation whose clock is known.
@@ -108,6 +112,7 @@
   await world.clock.tickAsync(14_000);
   world.stop();
   t.snapshot(world.events);
+  t.deepEqual(world.history.violations, []);
 });
 
 // Guards against a successor that assumes the leases by the clocks that a crashed owner knew.
@@ -119,6 +124,7 @@
   await world.clock.tickAsync(14_000);
   world.stop();
   t.snapshot(world.events);
+  t.deepEqual(world.history.violations, []);
 });
 
 // Guards against a successor that gives up an adopted run by the clocks that earlier owners knew.
@@ -134,4 +140,5 @@
   await world.clock.tickAsync(14_000);
   world.stop();
   t.snapshot(world.events);
+  t.deepEqual(world.history.violations, []);
 });
--- a/src/platform/stand_in/executor_model.ts
+++ b/src/platform/stand_in/executor_model.ts
@@ -1,5 +1,6 @@
 /** A model of an executor's protocol, without clock and sockets, for tests and stand-ins. */
 
+import type { ExecutorEntry } from "../../fleet/executor_entry.ts";
 import type { Resources } from "../../fleet/resources.ts";
 import { RunEnd } from "../../fleet/run.ts";
 import { type ExecutorReport, OrderOutcome, type PollOrder } from "../../owner/owner_ports.ts";
@@ -103,12 +104,17 @@
     return new ExecutorModel(options);
   }
 
+  /** Gets whether this is the incarnation of an entry; a start is sent to no other. */
+  isIncarnationOf({ born }: ExecutorEntry): boolean {
+    return born === this.#options.born;
+  }
+
   /**
    * Gets what a poll may acknowledge here: an acknowledgement is sent only over a connection to the
    * incarnation that is meant.
    */
   getDeliveredAcknowledgement({ executor, acknowledged }: PollOrder): number {
-    return executor.born === this.#options.born ? acknowledged : 0;
+    return this.isIncarnationOf(executor) ? acknowledged : 0;
   }
 
   /** Gets the time on the executor's clock, in milliseconds. */
--- a/src/platform/stand_in/fleet_simulation.ts
+++ b/src/platform/stand_in/fleet_simulation.ts
@@ -1,6 +1,10 @@
 /** Simulates a fleet and its owner in virtual time, and checks the invariants at every step. */
 
-import { getLeaseWaitMilliseconds } from "../../ownership/lease_bounds.ts";
+import {
+  type EarlierLeases,
+  getEarlierLeases,
+  getLeaseWaitMilliseconds,
+} from "../../ownership/lease_bounds.ts";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import type { EventLog } from "../../events/mod.ts";
@@ -20,12 +24,12 @@
 import type { ForwardedCall } from "../../front/call_frame.ts";
 import { CallControl } from "../../owner/call_control.ts";
 import { FleetOwner } from "../../owner/fleet_owner.ts";
+import { getIncarnationKey } from "../../owner/poll_control.ts";
 import { DEFAULT_CAPACITY_POLICY } from "../../owner/pool_need.ts";
 import { EarlierHostOrders } from "../../owner/host_order_records.ts";
 import { readStoredJobs } from "../../owner/job_records.ts";
 import { type JournalEntry, OrderOutcome, type OwnerPorts } from "../../owner/owner_ports.ts";
 import type { Claim } from "../../ownership/ownership_ports.ts";
-import { RENEWAL_INTERVAL_MILLISECONDS } from "../../ownership/ownership_task.ts";
 import { EventQueue } from "../../stand_ins/event_queue.ts";
 import type { Reply } from "../../tasks/mod.ts";
 import {
@@ -34,10 +38,13 @@
   type ModelRun,
   type RunPlan,
 } from "./executor_model.ts";
+import { START_SEND_LIMIT_MILLISECONDS } from "../executor_client.ts";
 import { FrontModel } from "./front_model.ts";
 import { InvariantChecker } from "./invariant_checker.ts";
+import { OwnerModel } from "./owner_model.ts";
 import { ProviderModel } from "./provider_model.ts";
 import { LivenessChecker } from "./liveness_checker.ts";
+import { RunHistory } from "./run_history.ts";
 import type { FleetSimulationOptions, SimulationFaults } from "./simulation_options.ts";
 import { SubmissionChecker } from "./submission_checker.ts";
 import { JOB_LIMITS } from "../../stand_ins/fleet_fixtures.ts";
@@ -85,9 +92,25 @@
 const MAXIMUM_REPETITION_DELAY_MILLISECONDS = 300;
 /** The number of times that a caller submits a job that is in doubt. */
 const MAXIMUM_ATTEMPTS = 3;
+/** How long a paused owner's claim goes unrenewed before the next owner takes over, in milliseconds. */
+const MINIMUM_TAKE_OVER_MILLISECONDS = 1_000;
+/** The additional time until the take-over is complete, at most, in milliseconds. */
+const MAXIMUM_TAKE_OVER_DELAY_MILLISECONDS = 1_500;
+/** How long an owner that wakes takes to learn that it is replaced, at most, in milliseconds. */
+const MAXIMUM_DEPOSITION_DELAY_MILLISECONDS = 700;
+/** The fraction of the orders under way at the start of a pause that are not held up by it. */
+const SENT_FRACTION = 0.5;
 /** The virtual time of a step, in milliseconds; it equals the owner's tick interval. */
 const STEP_MILLISECONDS = 25;
 
+/** How an executor restarts. */
+export interface RestartOptions {
+  /** How long its earlier incarnation stays listed, in milliseconds. */
+  listingMilliseconds: number;
+  /** How long it carries orders out and answers none, in milliseconds. */
+  muteMilliseconds: number;
+}
+
 /** A simulated fleet with its owner, and the checks on both. */
 export class FleetSimulation {
   /** The number of events by kind. */
@@ -104,6 +127,9 @@
   readonly #journalRandom: () => number;
   /** Random numbers for calls through fronts, which leave the sequence of all others unchanged. */
   readonly #callRandom: () => number;
+  /** Random numbers for restarts and owner changes, which leave the sequence of all others unchanged. */
+  readonly #changeRandom: () => number;
+  readonly #history = RunHistory.create(() => this.#now);
   readonly #submissionChecker: SubmissionChecker;
   readonly #fronts: readonly FrontModel[];
   /** The newest configuration that each owner knows, by its fence. */
@@ -121,13 +147,17 @@
   readonly #staleEntries = new Map<string, ExecutorEntry>();
   /** The existing executors whose entries are not listed. */
   readonly #unlistedExecutors = new Set<string>();
+  /** The entries of earlier incarnations that are listed in place of restarted executors. */
+  readonly #earlierEntries = new Map<string, ExecutorEntry>();
+  /** Until when executors carry out orders and answer none. */
+  readonly #muteUntil = new Map<string, number>();
   readonly #completedWaves = new Set<number>();
   readonly #events = EventQueue.create();
   #published: ConfigurationData;
   #owner: FleetOwner | undefined;
+  #ownerModel: OwnerModel | undefined;
   #calls: CallControl | undefined;
   #fence = 0;
-  #ownedSince = 0;
   /** When the last append was or will be stored. */
   #lastStoredAt = 0;
   /** When the last append was or will be answered. */
@@ -142,6 +172,7 @@
     this.#random = createRandom(options.seed);
     this.#journalRandom = createRandom(options.seed + 1);
     this.#callRandom = createRandom(options.seed + 2);
+    this.#changeRandom = createRandom(options.seed + 3);
     this.#published = options.configuration;
     this.#faults = options.faults;
     this.#fronts = Array.from({ length: FRONT_COUNT }, () =>
@@ -194,7 +225,8 @@
 
   /** The violations of invariants, as lines. */
   get violations(): readonly string[] {
-    return this.#invariantChecker.violations;
+    const repetitions = this.#history.violations.map((description) => `TWICE: ${description}`);
+    return [...this.#invariantChecker.violations, ...repetitions];
   }
 
   /** Gets the ids of the existing executors, of one service or of all. */
@@ -336,6 +368,7 @@
     if (entry === undefined) return;
     this.#livenessChecker.addFault(this.#now);
     this.#endRuns(id);
+    this.#muteUntil.delete(id);
     this.#invariantChecker.addIncarnation(id);
     const restarted = { ...entry, born: entry.born + 1, isDraining: false };
     this.#entries.set(id, restarted);
@@ -343,6 +376,25 @@
     this.#notifyExecutors();
   }
 
+  /**
+   * Crashes an executor. Its new incarnation is listed late, and carries orders out for a while before
+   * it answers any.
+   */
+  restart(id: string, { listingMilliseconds, muteMilliseconds }: RestartOptions): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    this.#earlierEntries.set(id, this.#earlierEntries.get(id) ?? entry);
+    this.crash(id);
+    const { born } = this.#entries.get(id)!;
+    this.#muteUntil.set(id, this.#now + muteMilliseconds);
+    this.#schedule(listingMilliseconds, () => {
+      if (this.#entries.get(id)?.born !== born) return;
+      this.#livenessChecker.addFault(this.#now);
+      this.#earlierEntries.delete(id);
+      this.#notifyExecutors();
+    });
+  }
+
   /** Omits the entries of existing executors from the list for a time. */
   unlistExecutors(ids: readonly string[], milliseconds: number): void {
     this.#livenessChecker.addFault(this.#now);
@@ -357,19 +409,89 @@
 
   /** Replaces the owner. The previous one gets no answers, and its appends are not stored. */
   replaceOwner(): void {
+    this.#ownerModel?.end();
     const previousClaim = this.#getClaim();
+    this.#openOwner(
+      previousClaim,
+      previousClaim === undefined ? { reckonedMilliseconds: 0, longestMilliseconds: 0 } : {
+        reckonedMilliseconds: LEASE_MILLISECONDS,
+        longestMilliseconds: MAXIMUM_LEASE_MILLISECONDS,
+      },
+    );
+  }
+
+  /** Crashes the owner's process; another one takes over once the claim has gone unrenewed. */
+  crashOwner(): void {
+    this.#livenessChecker.addFault(this.#now);
+    const model = this.#ownerModel!;
+    if (model.hasEnded) return;
+    model.end();
+    this.#takeOver(model);
+  }
+
+  /** Lets the owner stop: it stores what it has, and the next one learns the leases that remain. */
+  handOver(): void {
+    const model = this.#ownerModel!;
+    if (model.hasEnded) return;
+    const ports = this.#createPorts(model);
+    this.#livenessChecker.addFault(this.#now);
+    model.startHandOver();
+    ports.write([], () => {
+      const leaseMilliseconds = this.#owner!.getRemainingLeaseMilliseconds();
+      model.end();
+      const claim = { ...this.#getClaim()!, isReleased: true, leaseMilliseconds };
+      this.#openOwner(claim, getEarlierLeases(claim, MAXIMUM_LEASE_MILLISECONDS));
+    });
+  }
+
+  /**
+   * Pauses the owner's process, with what it has decided to send. If another one takes over meanwhile,
+   * it learns of that some time after it wakes.
+   */
+  pauseOwner(milliseconds: number): void {
+    const model = this.#ownerModel!;
+    if (model.hasEnded || model.getPauseMilliseconds() > 0) return;
+    this.#livenessChecker.addFault(this.#now);
+    model.pause(this.#now + milliseconds);
+    this.#takeOver(model);
+    this.#schedule(milliseconds, () => {
+      this.#livenessChecker.addFault(this.#now);
+      model.resume();
+      this.#schedule(this.#changeRandom() * MAXIMUM_DEPOSITION_DELAY_MILLISECONDS, () => {
+        if (this.#ownerModel === model) model.confirmClaim();
+        else model.end();
+      });
+    });
+  }
+
+  /** Lets another process take over from an owner whose claim goes unrenewed for long enough. */
+  #takeOver(model: OwnerModel): void {
+    const milliseconds = MINIMUM_TAKE_OVER_MILLISECONDS +
+      this.#changeRandom() * MAXIMUM_TAKE_OVER_DELAY_MILLISECONDS;
+    const unrenewedSince = model.getUnrenewedSince();
+    this.#schedule(milliseconds, () => {
+      if (this.#ownerModel !== model || model.getUnrenewedSince() !== unrenewedSince) return;
+      if (!model.hasEnded && model.getPauseMilliseconds() === 0) return;
+      const claim = this.#getClaim();
+      this.#openOwner(claim, getEarlierLeases(claim, MAXIMUM_LEASE_MILLISECONDS));
+    });
+  }
+
+  #openOwner(previousClaim: Claim | undefined, earlierLeases: EarlierLeases): void {
     const stored = this.#getStored();
     this.#livenessChecker.addFault(this.#now);
     this.#fence += 1;
-    this.#ownedSince = this.#now;
     this.#lastAppendAnsweredAt = this.#now;
     const fence = this.#fence;
     const configuration = this.#createConfiguration();
     this.#ownerConfigurations.set(fence, configuration);
-    const earlierLeases = fence === 1 ? { reckonedMilliseconds: 0, longestMilliseconds: 0 } : {
-      reckonedMilliseconds: LEASE_MILLISECONDS,
-      longestMilliseconds: MAXIMUM_LEASE_MILLISECONDS,
-    };
+    const model = OwnerModel.create({
+      fence,
+      ownedSince: this.#now,
+      getNow: () => this.#now,
+      getTimeOfDay: () => this.#getTimeOfDay(fence),
+    });
+    this.#ownerModel = model;
     this.#owner = FleetOwner.create({
       fence,
       limits: {
@@ -380,10 +502,10 @@
         offRackFactor: 1.5,
         earlierLeases,
       },
-      ports: this.#createPorts(fence),
+      ports: this.#createPorts(model),
       log: IGNORE_EVENT,
       startedAt: this.#now,
-      timeOfDay: this.#getTimeOfDay(),
+      timeOfDay: this.#getTimeOfDay(fence),
       configuration,
       jobs: readStoredJobs(stored).jobs,
       stored,
@@ -399,6 +521,7 @@
       inDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.longestMilliseconds),
       lostInDoubtMilliseconds: getLeaseWaitMilliseconds(earlierLeases.reckonedMilliseconds),
     });
+    model.setOwner(this.#owner);
     this.#calls = CallControl.create({
       owner: this.#owner,
       epoch: fence,
@@ -448,6 +571,7 @@
       while (this.#events.runNext(tickAt)) { /* Each event sets the time itself. */ }
       this.#now = tickAt;
       this.#provider.advance(tickAt);
+      if (this.#hasUnusableExecutor()) this.#livenessChecker.addFault(tickAt);
       for (const model of this.#models.values()) {
         model.advance(tickAt);
         if (model.isLeaseExpired(tickAt)) {
@@ -476,19 +600,8 @@
     return this.#owner?.getQueuedJobCount(queue) ?? 0;
   }
 
-  /** Calls the owner with the present context, and lets it flush. */
   #withOwner(act: (owner: FleetOwner) => void): void {
-    const owner = this.#owner!;
-    owner.setContext({
-      now: this.#now,
-      timeOfDay: this.#getTimeOfDay(),
-      renewal: this.#getClaim()?.renewal ?? 0,
-      mayStart: true,
-      mayExtend: true,
-      leaseMilliseconds: LEASE_MILLISECONDS,
-    });
-    act(owner);
-    owner.flush();
+    this.#ownerModel!.act(act);
   }
 
   /** Sends a submission through one of the fronts, and again if it is in doubt. */
@@ -559,23 +672,27 @@
     );
   }
 
-  #createPorts(fence: number): OwnerPorts {
-    const isCurrent = () => this.#fence === fence;
-    const answer = (act: (owner: FleetOwner) => void) => {
-      if (isCurrent()) this.#withOwner(act);
-    };
+  #createPorts(sender: OwnerModel): OwnerPorts {
+    const isCurrent = () => this.#ownerModel === sender;
+    const answer = (act: (owner: FleetOwner) => void) => sender.act(act);
     return {
       start: (order) =>
         this.#send(
+          sender,
           order.executor,
-          (model) => this.#decideRefusal() ? OrderOutcome.Unhealthy : model.start(order, this.#now),
+          (model) => {
+            if (!model.isIncarnationOf(order.executor)) return OrderOutcome.NotSent;
+            return this.#decideRefusal() ? OrderOutcome.Unhealthy : model.start(order, this.#now);
+          },
           (outcome) =>
             answer((owner) =>
               owner.handleStartAnswer(order.executor.id, order.task, order.run, { outcome })
             ),
+          START_SEND_LIMIT_MILLISECONDS,
         ),
       stop: (order) =>
         this.#send(
+          sender,
           order.executor,
           (model) => model.stop(order.task, order.run, order.fence, this.#now),
           (outcome) => answer((owner) => owner.handleStopAnswer(order, { outcome })),
@@ -585,7 +702,7 @@
         const sentAt = this.#now;
         let report: ReturnType<ExecutorModel["poll"]>;
         let acknowledged = 0;
-        this.#send(order.executor, (model) => {
+        this.#send(sender, order.executor, (model) => {
           acknowledged = model.getDeliveredAcknowledgement(order);
           report = model.poll({ ...order, acknowledged }, this.#now);
           const { falsifiedInput } = this.#options;
@@ -633,7 +750,7 @@
           if (!isCurrent()) return;
           for (const entry of entries) this.#store(entry);
           this.#answerAppend(() => {
-            if (isCurrent()) this.#withOwner(() => onStored());
+            if (isCurrent()) answer(() => onStored());
           });
         });
       },
@@ -676,9 +793,11 @@
 
   /** Sends an order to an executor's incarnation; the order or its answer may be lost or late. */
   #send(
+    sender: OwnerModel,
     entry: ExecutorEntry,
     act: (model: ExecutorModel) => OrderOutcome,
     answer: (outcome: OrderOutcome) => void,
+    sendLimitMilliseconds = Infinity,
   ): void {
     const { lostFraction, lateFraction } = this.#faults;
     // An order names only the id, so the next incarnation under it accepts the order too.
@@ -710,12 +829,25 @@
       this.#schedule(ORDER_TIMEOUT_MILLISECONDS, () => answer(OrderOutcome.Unanswered));
       return;
     }
-    this.#schedule(deliveryDelay, () => {
+    const send = () => {
       const outcome = deliver();
+      if (this.#now < (this.#muteUntil.get(entry.id) ?? 0)) {
+        this.#livenessChecker.addFault(this.#now);
+        this.#schedule(ORDER_TIMEOUT_MILLISECONDS, () => answer(OrderOutcome.Unanswered));
+        return;
+      }
       const { delayMilliseconds } = this.#faults;
       const delay = delayMilliseconds === undefined ? 0 : this.#random() * delayMilliseconds;
       if (delay > 0) this.#livenessChecker.addFault(this.#now + delay);
       this.#schedule(1 + this.#random() * 4 + delay, () => answer(outcome));
+    };
+    this.#schedule(deliveryDelay, () => {
+      const pauseMilliseconds = sender.getPauseMilliseconds();
+      if (pauseMilliseconds === 0 || this.#changeRandom() < SENT_FRACTION) return send();
+      this.#schedule(
+        pauseMilliseconds,
+        () => pauseMilliseconds > sendLimitMilliseconds ? answer(OrderOutcome.NotSent) : send(),
+      );
     });
   }
 
@@ -728,6 +860,7 @@
   }
 
   #createModel(entry: ExecutorEntry): ExecutorModel {
+    const incarnation = getIncarnationKey(entry);
     return ExecutorModel.create({
       capacity: entry.capacity,
       born: entry.born,
@@ -739,6 +872,7 @@
       onStart: (run) => {
         this.#countEvent("started");
         this.#submissionChecker.handleStart(run.task);
+        this.#history.addStart(incarnation, run);
         this.#invariantChecker.handleStart(this.#entries.get(entry.id) ?? entry, run, {
           now: this.#now,
           isDeliveredLate: this.#isDeliveringLate,
@@ -747,8 +881,10 @@
       onEnd: (run, end, isAvailable) => {
         this.#countEvent(end);
         this.#livenessChecker.addEnd(run.task, end);
+        this.#history.addEnd(incarnation, run, end);
         this.#invariantChecker.handleEnd(run, end, this.#now, isAvailable);
       },
+      onAcknowledged: (end) => this.#history.addAcknowledgement(incarnation, end),
     });
   }
 
@@ -760,8 +896,8 @@
     return { durationMilliseconds: milliseconds, end: isFailing ? RunEnd.Failed : RunEnd.Done };
   }
 
-  #getTimeOfDay(): number {
-    return this.#now + (this.#options.getClockOffset?.(this.#fence) ?? 0);
+  #getTimeOfDay(fence: number): number {
+    return this.#now + (this.#options.getClockOffset?.(fence) ?? 0);
   }
 
   #checkJobStates(): void {
@@ -789,6 +925,12 @@
     }
   }
 
+  /** Gets whether the owner can't use an executor yet, which has restarted. */
+  #hasUnusableExecutor(): boolean {
+    return this.#earlierEntries.size > 0 ||
+      [...this.#muteUntil.values()].some((until) => this.#now < until);
+  }
+
   /** Decides whether an executor refuses a start as unhealthy. */
   #decideRefusal(): boolean {
     const { refusedFraction = 0 } = this.#faults;
@@ -805,6 +947,7 @@
     ]);
     this.#invariantChecker.handleHostOutOfService(runs, this.#now);
     this.#invariantChecker.addLostEnds(model.getUnacknowledgedTasks());
+    this.#history.addLoss(getIncarnationKey(this.#entries.get(host.executorId)!));
     this.#models.delete(host.executorId);
     this.#keepStaleEntry(this.#entries.get(host.executorId)!);
     this.#entries.delete(host.executorId);
@@ -832,6 +975,7 @@
       );
     }
     this.#invariantChecker.addLostEnds(model.getUnacknowledgedTasks());
+    this.#history.addLoss(getIncarnationKey(this.#entries.get(id)!));
   }
 
   /** Keeps the entry of an executor that no longer exists in the list for a time. */
@@ -897,14 +1041,14 @@
    * from its renewals how long it was held.
    */
   #getClaim(): Claim | undefined {
-    if (this.#owner === undefined) return undefined;
+    if (this.#ownerModel === undefined) return undefined;
     return {
       epoch: this.#fence,
       holder: `holder-${this.#fence}`,
       hostName: "entry-1",
       address: "10.0.0.1:7000",
       isReleased: false,
-      renewal: Math.floor((this.#now - this.#ownedSince) / RENEWAL_INTERVAL_MILLISECONDS),
+      renewal: this.#ownerModel.getRenewal(),
     };
   }
 
@@ -914,7 +1058,10 @@
 
   #getListedEntries(): ExecutorEntry[] {
     const falsify = this.#options.falsifiedInput?.entry ?? ((entry: ExecutorEntry) => entry);
-    return [...this.#staleEntries.values(), ...this.#entries.values()]
+    const entries = [...this.#entries.values()].map((entry) =>
+      this.#earlierEntries.get(entry.id) ?? entry
+    );
+    return [...this.#staleEntries.values(), ...entries]
       .filter(({ id }) => !this.#unlistedExecutors.has(id)).map(falsify);
   }
 
--- a/src/platform/stand_in/run_history.ts
+++ b/src/platform/stand_in/run_history.ts
@@ -16,7 +16,7 @@
 /** An event of a run. */
 export interface RunEvent {
   kind: RunEventKind;
-  /** When it happened, in milliseconds since the history was created. */
+  /** When it happened, in milliseconds on the history's clock. */
   at: number;
   /** The incarnation of the executor. */
   executor: string;
@@ -32,16 +32,18 @@
 export class RunHistory {
   /** The repetitions that were found, each with the events of its task. */
   readonly violations: string[] = [];
-  readonly #createdAt = performance.now();
+  readonly #getTime: () => number;
   readonly #events = new Map<string, RunEvent[]>();
   /** The incarnations that execute each task. */
   readonly #running = new Map<string, Set<string>>();
 
-  private constructor() {}
+  private constructor(getTime: () => number) {
+    this.#getTime = getTime;
+  }
 
-  /** Creates a history without runs. */
-  static create(): RunHistory {
-    return new RunHistory();
+  /** Creates a history without runs, by default with a clock that starts at its creation. */
+  static create(getTime = createClock()): RunHistory {
+    return new RunHistory(getTime);
   }
 
   /** Records the start of a run: no other may be executing, nor may one be acknowledged as done. */
@@ -103,10 +105,6 @@
     return (this.#running.get(task)?.size ?? 0) > 0;
   }
 
-  #getTime(): number {
-    return Math.round(performance.now() - this.#createdAt);
-  }
-
   #getEvents(task: string): RunEvent[] {
     return this.#events.get(task) ?? [];
   }
@@ -130,5 +128,11 @@
 
 function formatEvent({ kind, at, executor, run, end, number }: RunEvent): string {
   const details = [end, number === undefined ? undefined : `number ${number}`];
-  return [`${at} ms: ${kind} of run ${run} on ${executor}`, ...details.filter(Boolean)].join(", ");
+  return [`${Math.round(at)} ms: ${kind} of run ${run} on ${executor}`, ...details.filter(Boolean)]
+    .join(", ");
+}
+
+function createClock(): () => number {
+  const createdAt = performance.now();
+  return () => performance.now() - createdAt;
 }
--- a/src/stand_ins/owner_succession.ts
+++ b/src/stand_ins/owner_succession.ts
@@ -9,7 +9,9 @@
 import { type ExecutorPort, OwnerTask, type OwnerTaskOptions } from "../owner/owner_task.ts";
 import type { Claim, JournalStore } from "../ownership/ownership_ports.ts";
 import { RENEWAL_INTERVAL_MILLISECONDS } from "../ownership/ownership_task.ts";
+import { getIncarnationKey } from "../owner/poll_control.ts";
 import { ExecutorModel } from "../platform/stand_in/executor_model.ts";
+import { RunHistory } from "../platform/stand_in/run_history.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
 import { createListedExecutor, createQueue, JOB_LIMITS } from "./fleet_fixtures.ts";
 import { createStepSpecification } from "./step_fixtures.ts";
@@ -82,8 +84,12 @@
   isStoreDown = false;
   /** The starts and ends of runs at the executors, in order. */
   readonly events: string[] = [];
+  /** The runs at the executors, with a check that no task is repeated. */
+  readonly history = RunHistory.create(() => performance.now());
   readonly #journal = new Map<string, Uint8Array>();
   readonly #models = new Map<string, ExecutorModel>();
+  /** The executors' present incarnations, by id. */
+  readonly #incarnations = new Map<string, string>();
   /** The executors that orders do not reach. */
   readonly #cutOff = new Set<string>();
   /** The executors that carry out orders but answer none. */
@@ -179,7 +185,12 @@
     return EXECUTORS[0]!.born + performance.now();
   }
 
-  #startExecutor({ id, capacity, born }: ExecutorEntry): void {
+  #startExecutor(entry: ExecutorEntry): void {
+    const { id, capacity, born } = entry;
+    const incarnation = getIncarnationKey(entry);
+    const ended = this.#incarnations.get(id);
+    if (ended !== undefined) this.history.addLoss(ended);
+    this.#incarnations.set(id, incarnation);
     const model = ExecutorModel.create({
       capacity,
       born,
@@ -187,8 +198,15 @@
       stopMilliseconds: 100,
       startupMilliseconds: 100,
       planRun: () => ({ durationMilliseconds: Infinity, end: RunEnd.Done }),
-      onStart: ({ task }) => this.events.push(`start of ${task} on ${id}`),
-      onEnd: ({ task }, end) => this.events.push(`end of ${task} on ${id}: ${end}`),
+      onStart: (run) => {
+        this.events.push(`start of ${run.task} on ${id}`);
+        this.history.addStart(incarnation, run);
+      },
+      onEnd: (run, end) => {
+        this.events.push(`end of ${run.task} on ${id}: ${end}`);
+        this.history.addEnd(incarnation, run, end);
+      },
+      onAcknowledged: (end) => this.history.addAcknowledgement(incarnation, end),
     });
     this.#models.set(id, model);
   }
