Use a ticket only for the incarnation that it was issued for

A ticket of the adviser is valid during one life of an executor. It was kept under the id, so that the first start at the next incarnation carried it and was rejected. It is kept with the time at which the incarnation started now.

Measured: advice_test "a ticket is not used for the next incarnation of its executor" failed before and passes.

--- a/src/owner/advice_control.ts
+++ b/src/owner/advice_control.ts
@@ -15,6 +15,8 @@
 
 interface Ticket {
   ticket: string;
+  /** When the incarnation of the executor started for which it is valid. */
+  born: number | undefined;
   validUntil: number;
 }
 
@@ -55,7 +57,7 @@
     const state = this.#state;
     if (state.getQueue(step.job.queue)?.advice === undefined) return NO_TICKET;
     const ticket = this.#steps.get(getStepName(step))?.tickets.get(executor.id);
-    const isValid = ticket !== undefined &&
+    const isValid = ticket?.born === executor.entry.born &&
       ticket.validUntil - TICKET_EXPIRY_MARGIN_MILLISECONDS > state.now;
     return isValid ? ticket.ticket : undefined;
   }
@@ -87,6 +89,7 @@
       good.add(executorId);
       stepAdvice.tickets.set(executorId, {
         ticket,
+        born: state.executors.get(executorId)?.entry.born,
         validUntil: state.now + advice.validMilliseconds,
       });
     }
