Send nothing for an incarnation that the next one has replaced

An order that waits, for an incarnation that has ended, closed the connections to the next one and opened its own: a start that waits for its incarnation to be identified, or a poll that is sent again without its acknowledgement. The polls of the next incarnation then counted as silence, and the start could reach it.

A client sends nothing for an incarnation that is older than the one that it has connections to.

Measured: executor_client_test "no order is sent for an incarnation of an executor once the next one was polled" fails without the change and passes.

--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -279,7 +279,9 @@
     request: ExecutorRequest,
   ): Promise<LinkResponse | typeof NOT_SENT | undefined> {
     const { executor, path } = request;
-    if (this.#isClosed) return NOT_SENT;
+    const current = this.#links.get(executor.id);
+    const hasEnded = current !== undefined && current.born > executor.born;
+    if (this.#isClosed || hasEnded) return NOT_SENT;
     try {
       return await this.#request(request);
     } catch (error) {
--- a/src/platform/executor_client_test.ts
+++ b/src/platform/executor_client_test.ts
@@ -362,3 +362,26 @@
   t.is((await client.start({ ...order, deadline: 60_000 })).outcome, OrderOutcome.Done);
   t.deepEqual(received, ["/-/hold", "/-/run-start"]);
 });
+
+// Guards against a late order for an earlier incarnation that closes the connections to the next one.
+test("no order is sent for an incarnation of an executor once the next one was polled", async (t) => {
+  const { server, bodies, address } = await startPolledServer((_body, response) =>
+    sendJson(response, 200, { ...REPORT, born: 2 })
+  );
+  const client = ExecutorClient.create(() => {});
+  t.teardown(() => (client.close(), server.close()));
+  const poll = async (born: number) => {
+    const executor = createListedExecutor({ address, born });
+    const order = { executor, fence: 1, acknowledged: 0, deadline: 0, waitMilliseconds: 0 };
+    return (await client.poll(order)).outcome;
+  };
+  const outcomes = [await poll(2), await poll(1), await poll(2)];
+  const executor = createListedExecutor({ address, born: 1 });
+  const order = { executor, task: "j.0.0.0", run: 1, fence: 1, text: "", checkpoint: "" };
+  outcomes.push((await client.start({ ...order, deadline: 60_000 })).outcome);
+  const { Done, NotSent } = OrderOutcome;
+  t.deepEqual({ outcomes, sent: bodies.length }, {
+    outcomes: [Done, NotSent, Done, NotSent],
+    sent: 2,
+  });
+});
