Split the client of executors by what it does

A start identifies its connection in a method of its own, and a connection has a file of its own. No change of behaviour: executor_client_test and platform_host_test pass.

--- a/src/platform/executor_client.ts
+++ b/src/platform/executor_client.ts
@@ -15,7 +15,8 @@
 import type { EventLog } from "../events/mod.ts";
 import { getErrorMessage } from "../errors/mod.ts";
 import { ElapsedClock } from "../tasks/mod.ts";
-import { type ExecutorConnection, ExecutorLink } from "./executor_link.ts";
+import type { ExecutorConnection } from "./executor_connection.ts";
+import { ExecutorLink } from "./executor_link.ts";
 import {
   type LinkConnection,
   type LinkRequest,
@@ -98,38 +99,21 @@
    * the next one would neither know the fence of a later owner nor read the deadline on the same clock.
    */
   async start(order: StartOrder): Promise<OrderAnswer> {
-    const { executor, fence } = order;
+    const { executor } = order;
     const elapsedClock = ElapsedClock.create();
-    const getLimit = () => START_SEND_LIMIT_MILLISECONDS - elapsedClock.getElapsed();
     let chosen: ExecutorConnection | undefined;
     const choose = (link: ExecutorLink) => chosen ??= link.chooseForOrder();
-    const findConnection = () => {
-      const link = this.#findLink(executor);
-      return link && choose(link).findOpen(executor.born);
-    };
-    const body = {
-      task: order.task,
-      run: order.run,
-      taskSpec: order.text,
-      deadlineMs: order.deadline,
-      fence,
-      ...(order.checkpoint === "" ? {} : { lastCheckpoint: order.checkpoint }),
-      ...(order.ticket === undefined ? {} : { ticket: order.ticket }),
-    };
-    const send = (connection?: LinkConnection) => {
-      const limits = { sendLimitMilliseconds: getLimit(), connection };
-      return this.#sendOrder(executor, "/-/run-start", body, limits, choose);
-    };
-    const connection = findConnection();
+    const getLimits = (connection?: LinkConnection) => ({
+      sendLimitMilliseconds: START_SEND_LIMIT_MILLISECONDS - elapsedClock.getElapsed(),
+      connection,
+    });
+    const send = (connection?: LinkConnection) =>
+      this.#sendOrder(executor, "/-/run-start", encodeStart(order), getLimits(connection), choose);
+    const connection = this.#findConnection(executor, choose);
     if (connection !== undefined) return await send(connection);
-    const poll = { executor, fence, acknowledged: 0, deadline: 0, waitMilliseconds: 0 };
-    const limits = { sendLimitMilliseconds: getLimit() };
-    const identified = await this.#sendPoll(poll, { choose, acknowledged: 0, limits });
-    if (identified.outcome === OrderOutcome.Fenced) return { outcome: identified.outcome };
-    if (identified.outcome !== OrderOutcome.Done) return { outcome: NOT_SENT };
-    const { born } = identified.report;
-    if (born !== 0 && born !== executor.born) return { outcome: NOT_SENT };
-    const answer = await send(findConnection());
+    const failure = await this.#identify(order, choose, getLimits());
+    if (failure !== undefined) return { outcome: failure };
+    const answer = await send(this.#findConnection(executor, choose));
     // The connection did not last, and the incarnation has answered a moment ago.
     return answer.outcome === NOT_SENT ? await send() : answer;
   }
@@ -159,7 +143,7 @@
       return await this.#sendPoll(order, { choose, acknowledged, limits: {} });
     }
     const polls = this.#findLink(executor)?.polls;
-    const connection = polls?.findOpen(executor.born);
+    const connection = this.#findConnection(executor, choose);
     if (connection !== undefined || polls?.isWithholdingOver() === true) {
       const answer = await this.#sendPoll(order, { choose, acknowledged, limits: { connection } });
       if (answer.outcome !== NOT_SENT) {
@@ -175,6 +159,23 @@
     return answer;
   }
 
+  /**
+   * Polls an executor over a connection for orders, so that its incarnation is known. Gets why a start
+   * must not follow; undefined if the incarnation that is meant has answered.
+   */
+  async #identify(
+    { executor, fence }: StartOrder,
+    choose: ExecutorRequest["choose"],
+    limits: RequestLimits,
+  ): Promise<OrderOutcome | undefined> {
+    const poll = { executor, fence, acknowledged: 0, deadline: 0, waitMilliseconds: 0 };
+    const answer = await this.#sendPoll(poll, { choose, acknowledged: 0, limits });
+    if (answer.outcome === OrderOutcome.Fenced) return OrderOutcome.Fenced;
+    if (answer.outcome !== OrderOutcome.Done) return NOT_SENT;
+    const { born } = answer.report;
+    return born === 0 || born === executor.born ? undefined : NOT_SENT;
+  }
+
   async #sendPoll(
     order: PollOrder,
     { choose, acknowledged, limits }: {
@@ -183,8 +184,7 @@
       limits: RequestLimits;
     },
   ): Promise<PollAnswer> {
-    const { executor } = order;
-    const { waitMilliseconds } = order;
+    const { executor, waitMilliseconds } = order;
     const body = {
       fence: order.fence,
       lastSeen: acknowledged,
@@ -322,6 +322,15 @@
     }
   }
 
+  /** Finds the open connection that is chosen, if the incarnation has answered over it. */
+  #findConnection(
+    executor: ExecutorEntry,
+    choose: ExecutorRequest["choose"],
+  ): LinkConnection | undefined {
+    const link = this.#findLink(executor);
+    return link && choose(link).findOpen(executor.born);
+  }
+
   #findLink({ id, address, born }: ExecutorEntry): ExecutorLink | undefined {
     const link = this.#links.get(id);
     return link?.address === address && link.born === born ? link : undefined;
@@ -337,6 +346,18 @@
   }
 }
 
+function encodeStart(order: StartOrder): unknown {
+  return {
+    task: order.task,
+    run: order.run,
+    taskSpec: order.text,
+    deadlineMs: order.deadline,
+    fence: order.fence,
+    ...(order.checkpoint === "" ? {} : { lastCheckpoint: order.checkpoint }),
+    ...(order.ticket === undefined ? {} : { ticket: order.ticket }),
+  };
+}
+
 function decodeOutcome(response: LinkResponse): OrderOutcome {
   switch (response.status) {
     case 200:
