Give the stand-in executors an address that no connection takes

The executors of a process listen on a loopback address of their own now, from which no connection goes out.

Measured: restarts_in_processes_test, platform_host_test, executor_client_test and the tests of the stand-ins pass.

--- a/src/platform/stand_in/run_executor_stand_in.ts
+++ b/src/platform/stand_in/run_executor_stand_in.ts
@@ -4,6 +4,7 @@
  * requests of callers instead.
  */
 
+import { randomInt } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RunEnd } from "../../fleet/run.ts";
 import { OrderOutcome } from "../../owner/owner_ports.ts";
@@ -11,6 +12,14 @@
 import { ExecutorModel, type ModelEnd, type ModelRun, type RunPlan } from "./executor_model.ts";
 import { sendJson, StandInServer } from "./stand_in_server.ts";
 
+/** The bound of the two parts of a loopback address that are chosen. */
+const LOOPBACK_PARTS = 250;
+/**
+ * The address of the executors of this process, which no outgoing connection takes as its own: one of
+ * those could take a port while an executor restarts there.
+ */
+const ADDRESS = `127.${randomInt(1, LOOPBACK_PARTS)}.${randomInt(1, LOOPBACK_PARTS)}.3`;
+
 /** The interval at which a long poll checks for an ended run, in milliseconds. */
 const POLL_CHECK_INTERVAL_MILLISECONDS = 5;
 
@@ -121,7 +130,7 @@
 
   /** Listens on a loopback port, by default a free one, and returns the entry for the store. */
   async listen(port = 0): Promise<Record<string, unknown>> {
-    const addr = await this.#server.listen(port);
+    const addr = await this.#server.listen(port, ADDRESS);
     const { service, zone } = this.#options;
     return {
       service,
--- a/src/platform/stand_in/stand_in_server.ts
+++ b/src/platform/stand_in/stand_in_server.ts
@@ -25,9 +25,9 @@
     return new StandInServer(handle);
   }
 
-  /** Listens on a loopback port, by default a free one, and returns the address. */
-  listen(port = 0): Promise<string> {
-    return listen(this.#server, { host: "127.0.0.1", port });
+  /** Listens on a port of a loopback address, by default a free one, and returns the address. */
+  listen(port = 0, host = "127.0.0.1"): Promise<string> {
+    return listen(this.#server, { host, port });
   }
 
   /** Closes the listening socket and all connections. */
