--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,69 +1,80 @@
-// A gang that saves its progress loses the executor of one member, which is back after some seconds.
+// A client hands in a few jobs that repeat often and whose first time has passed, beside ordinary
+// clients.
 
+import { randomBytes } from "node:crypto";
 import { BOUNDS, createConfiguration, delay, runCase } from "../stand_ins_3/rig.mjs";
 
 const PREFIX = "/quotes/";
-const MEMBERS = 3;
-const WORK_MILLISECONDS = 6000;
-const CRASH_AFTER_MILLISECONDS = 2700;
-const DOWN_MILLISECONDS = 4900;
+const TIMED_JOBS = 12;
+const REPEATS = 28000;
+const INTERVAL_MILLISECONDS = 100;
+const TRAFFIC_MILLISECONDS = 25000;
 
 await runCase(import.meta.dirname, async (rig, hasTrouble) => {
   await rig.startExecutors("pricing", 6);
   rig.publishConfiguration(createConfiguration(rig, [{ service: "pricing", prefix: PREFIX }]));
   await rig.startHosts(3);
   await delay(1500);
+  rig.restartEnded();
 
-  const id = await rig.submit(PREFIX, {
-    taskSpec: "refit",
-    milliseconds: WORK_MILLISECONDS,
-    steps: [{
-      count: MEMBERS,
-      cpu: 2000,
-      memMb: 1024,
-      estRuntimeMs: WORK_MILLISECONDS,
-      gang: true,
-      checkpointing: true,
-    }],
-  });
-  if (id === undefined) throw new Error("the job was not accepted");
-  const getStarts = () => rig.history.filter(({ kind }) => kind === "start");
-  for (let waited = 0; getStarts().length < MEMBERS && waited < 5000; waited += 50) await delay(50);
-  if (getStarts().length < MEMBERS) throw new Error("the gang did not start");
+  // Ordinary clients: a job of one short task each second, as long as there is traffic.
+  const accepted = [];
+  const trafficUntil = performance.now() + TRAFFIC_MILLISECONDS;
+  const traffic = (async () => {
+    const open = [];
+    while (performance.now() < trafficUntil) {
+      const handIn = async () => {
+        const job = { taskSpec: "quote", milliseconds: 300, steps: [{ count: 1, cpu: 500 }] };
+        const id = await rig.submit(PREFIX, job);
+        if (id !== undefined) accepted.push(id);
+      };
+      open.push(handIn());
+      await delay(1000);
+    }
+    await Promise.all(open);
+  })();
 
-  let calmSince = performance.now();
   if (hasTrouble) {
-    await delay(CRASH_AFTER_MILLISECONDS);
-    const crashing = rig.executors.find(({ id: name }) => name === getStarts()[0].executor);
-    crashing.crash();
-    await delay(DOWN_MILLISECONDS);
-    await crashing.start();
-    calmSince = performance.now();
-  }
-  // The pages give a job `finish_s` after the traffic; the gang needs its work and two attempts more.
-  const until = calmSince + BOUNDS.finish_s * 1000 + WORK_MILLISECONDS + 2 * BOUNDS.gangWaitMs;
-  let state;
-  while (performance.now() < until) {
-    state = await rig.getState(PREFIX, id);
-    if (state === "completed") break;
-    await delay(1000);
+    await delay(3000);
+    // The last of the times has passed too.
+    const firstRunMs = Date.now() - REPEATS * INTERVAL_MILLISECONDS;
+    for (let number = 0; number < TIMED_JOBS; number += 1) {
+      const job = {
+        taskSpec: "tally",
+        milliseconds: 300,
+        steps: [{ count: 1, cpu: 1000 }],
+        schedule: { repeats: REPEATS, firstRunMs, intervalMs: INTERVAL_MILLISECONDS },
+      };
+      const id = randomBytes(8).toString("hex");
+      rig.jobs.set(id, job);
+      const body = { taskSpec: job.taskSpec, steps: job.steps, ...job.schedule };
+      rig.recorder.add(`client: a job with ${REPEATS} times, ${JSON.stringify(body).length} bytes`);
+      void rig.send(rig.hosts[number % rig.hosts.length], "POST", PREFIX + id, body);
+      await delay(100);
+    }
   }
+  await traffic;
+  rig.recorder.add(`traffic ends; ${accepted.length} ordinary jobs accepted`);
+  await delay(BOUNDS.finish_s * 1000);
 
   const broken = [];
-  const runs = Map.groupBy?.(getStarts(), ({ run }) => run) ?? groupByRun(getStarts());
-  for (const [run, starts] of runs) {
-    const checkpoints = new Set(starts.map(({ checkpoint }) => checkpoint));
-    if (starts.length === MEMBERS && checkpoints.size > 1) {
-      broken.push(`UNASKED: run ${run} of the gang carries ${[...checkpoints].join(" and ")}`);
+  // The jobs are asked for: each client asks three hosts, with the deadline of the sheet.
+  const states = await Promise.all(accepted.map(async (id) => {
+    for (const host of rig.hosts) {
+      const { status, body } = await rig.send(host, "GET", PREFIX + id);
+      if (status === 200) return body.state;
+      if (status === 410) return "not known";
     }
+    return "not answered in time";
+  }));
+  rig.recorder.add(`states of the ordinary jobs: ${states.join(", ")}`);
+  for (const state of ["not answered in time", "not known"]) {
+    const count = states.filter((other) => other === state).length;
+    if (count > 0) broken.push(`LOST: ${count} of ${states.length} accepted jobs: ${state}`);
+  }
+  const ends = rig.ownEnds.length;
+  if (ends > 0) {
+    broken.push(`Fault: processes ended by themselves ${ends} times: ${rig.ownEnds[0].reason}`);
   }
-  rig.recorder.add(`runs of the gang: ${runs.size}; the job is ${state}`);
-  if (state !== "completed") broken.push(`LOST: the job is still ${state}, it can't be completed`);
   return broken;
 });
-
-function groupByRun(starts) {
-  const runs = new Map();
-  for (const start of starts) runs.set(start.run, [...(runs.get(start.run) ?? []), start]);
-  return runs;
-}
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
-# executor up.
+# timed jobs out.
 cd "$(dirname "$0")" && exec node case.mjs
