--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -72,9 +72,21 @@
     const count = states.filter((other) => other === state).length;
     if (count > 0) broken.push(`LOST: ${count} of ${states.length} accepted jobs: ${state}`);
   }
+  const started = new Set(rig.history.map(({ task }) => task.split(".")[0]));
+  const waiting = accepted.filter((id) => !started.has(id)).length;
+  if (waiting > 0) {
+    broken.push(
+      `LOST: ${waiting} accepted jobs of one task have not begun, with most capacity free`,
+    );
+  }
   const ends = rig.ownEnds.length;
-  if (ends > 0) {
-    broken.push(`Fault: processes ended by themselves ${ends} times: ${rig.ownEnds[0].reason}`);
+  const counts = rig.hosts.map(({ name }) =>
+    rig.ownEnds.filter(({ host }) => host === name).length
+  );
+  if (counts.filter((count) => count >= 3).length >= 2) {
+    broken.push(
+      `Fault: processes ended by themselves ${ends} times: ${rig.ownEnds[0].reason?.slice(0, 200)}`,
+    );
   }
   return broken;
 });
