Bound the occurrences that all jobs have together

Cause: JobControl added every due occurrence of a job up to the limit of one job, whatever other jobs held. Admission counted one occurrence of each job until the next count up to 5 s later; nothing was counted before the occurrences of a restored job were added.

Change: OccurrenceControl holds the number of each job's next occurrence, and adds occurrences in turn as JobMemory has room. JobMemory is kept up to date with every change instead of every 5 s. It reserves room for one occurrence of each job until the job has ended, so that jobs which become due at one time don't exceed it, and gives occurrences beyond the first at most 16 MiB or a quarter of the jobs' memory. A customer may have as much of that as it leaves to others, and a job as much as its customer may still have. A take-over counts all jobs before it adds an occurrence; an owner with less memory than the one that accepted the jobs holds them in turn. Nothing is refused or dropped for it: what waits is a number, and each end makes room.

The same cause on related paths: occurrences added while the take-over is in doubt stay Unknown, later ones are Waiting at once, so that a backlog doesn't start the walk over all tasks again at every tick; a job that the store refuses is no longer counted until the next count.

--- a/src/fleet/job_limits.ts
+++ b/src/fleet/job_limits.ts
@@ -39,6 +39,11 @@
     return new JobLimits(options);
   }
 
+  /** Gets whether a job may have a number of occurrences at a time; one is always allowed. */
+  canHold(specification: JobSpecification, occurrences: number): boolean {
+    return occurrences <= 1 || occurrences * getTaskCount(specification) <= this.maximumTasks;
+  }
+
   /** Gets the reason to reject a job as too large, or undefined if it is not. */
   getRefusal(specification: JobSpecification): string | undefined {
     const tasks = getTaskCount(specification);
--- a/src/owner/call_control.ts
+++ b/src/owner/call_control.ts
@@ -42,8 +42,6 @@
   isStoreUnavailable: () => boolean;
   /** The limits on the size of a job. */
   jobLimits: JobLimits;
-  /** The estimated memory of jobs from which on no more are accepted, in bytes; no limit if unset. */
-  maximumJobBytes?: number | undefined;
   /** Called when a job is refused since the owner holds too many. */
   onFull?: (() => void) | undefined;
   /** Logs calls that failed. */
@@ -121,10 +119,8 @@
     if (!this.#isKnown(jobId) && isStoreUnavailable()) {
       return reply(createUnavailable("the store does not answer", STORE_RETRY_AFTER_SECONDS));
     }
-    const { maximumJobBytes = Infinity, onFull } = this.#options;
-    const hasRoom = owner.getJobMemory().hasRoom({ queue, customer }, maximumJobBytes);
-    if (!this.#isKnown(jobId) && !hasRoom) {
-      onFull?.();
+    if (!this.#isKnown(jobId) && !owner.getJobMemory().hasRoomForJob({ queue, customer })) {
+      this.#options.onFull?.();
       return reply(createUnavailable("the owner holds as many jobs as it has memory for"));
     }
     const tooLarge = (reason: string) => this.#refuse(call, createTooLarge(reason));
--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -188,7 +188,7 @@
       handleHostOrderDone: (executor, reason) => this.#polls.handleHostOrderDone(executor, reason),
       policy: options.capacityPolicy,
     });
-    for (const job of options.jobs) this.#jobs.restore(job);
+    this.#jobs.restore(options.jobs);
     this.#state.storeQueues();
     for (const entry of recorded) {
       this.#setExecutor(entry);
@@ -255,7 +255,7 @@
 
   /** Gets the estimated memory of the jobs that are accepted or being stored. */
   getJobMemory(): JobMemory {
-    return this.#jobs.getMemory();
+    return this.#state.jobMemory;
   }
 
   /** Gets the state of a job as reported to callers, or undefined if the job is not known. */
@@ -396,6 +396,7 @@
       readySteps: state.ready.size,
       running,
       startWindow: state.startWindow.getLimit(),
+      ...this.#jobs.getSummary(),
       ...this.#overload?.getSummary(),
       ...this.#demand.getSummary(),
       ...this.#room?.getSummary(),
--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -11,6 +11,7 @@
 import { ArrivalMeter } from "./arrival_meter.ts";
 import { DemandHistory } from "./demand_history.ts";
 import { DurationEstimator } from "./duration_estimator.ts";
+import { JobMemory } from "./job_memory.ts";
 import type { OwnerPorts } from "./owner_ports.ts";
 import { type QueueEntry, QueueHistory } from "./queue_history.ts";
 import type { StoredQueue } from "./queue_records.ts";
@@ -29,6 +30,8 @@
   longestLeaseMilliseconds: number;
   /** The limits on the size of a job. */
   jobLimits: JobLimits;
+  /** The memory for jobs, in bytes; no limit if unset. */
+  maximumJobBytes?: number | undefined;
   /** The factor by which a task takes longer outside its preferred rack. */
   offRackFactor: number;
 }
@@ -105,6 +108,8 @@
   readonly endedIncarnations = new Map<string, number>();
   /** The jobs by id. */
   readonly jobs = new Map<string, Job>();
+  /** The estimated memory of the jobs that are accepted or being stored. */
+  readonly jobMemory: JobMemory;
   /** The steps with tasks that are ready to start. */
   readonly ready = new Set<JobStep>();
   /** The jobs whose progress must be written to the journal. */
@@ -136,6 +141,7 @@
   private constructor(options: FleetStateOptions) {
     this.fence = options.fence;
     this.limits = options.limits;
+    this.jobMemory = JobMemory.create(options.limits.maximumJobBytes);
     this.ports = options.ports;
     this.features = options.features ?? NO_SCHEDULING_FEATURES;
     this.log = options.log;
@@ -305,10 +311,22 @@
     return job.getTask(occurrence, step, index);
   }
 
-  /** Adds an occurrence of a job that is due. */
+  /**
+   * Adds an occurrence of a job. Once no executor may run tasks that it has not reported, no task is
+   * in state `Unknown`.
+   */
   addOccurrence(job: Job, occurrence: number, state: TaskState): void {
-    if (state === TaskState.Unknown) this.hasUnknownTasks = true;
-    for (const step of job.addOccurrence(occurrence, state)) this.addIfReady(step);
+    const initial = this.hasUnknownTasks ? state : TaskState.Waiting;
+    const steps = job.addOccurrence(occurrence, initial);
+    this.jobMemory.count(job);
+    for (const step of steps) this.addIfReady(step);
+  }
+
+  /** Removes an occurrence of a job that is completed. */
+  completeOccurrence(job: Job, occurrence: number): void {
+    job.occurrences.delete(occurrence);
+    job.doneOccurrences.add(occurrence);
+    this.jobMemory.count(job);
   }
 
   /** Makes the tasks of a step eligible to start if all steps that it depends on are done. */
--- a/src/owner/job_control.ts
+++ b/src/owner/job_control.ts
@@ -1,13 +1,12 @@
 /** Serves callers' requests about jobs: submit, get state, cancel, and count queued jobs. */
 
 import { Job, JobState, TaskState } from "../fleet/job.ts";
-import { getTaskCount } from "../fleet/job_limits.ts";
 import type { JobSpecification } from "../fleet/job_specification.ts";
 import { addResources, NO_RESOURCES } from "../fleet/resources.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { getCriticalPathMilliseconds } from "./critical_path.ts";
-import { JobMemory } from "./job_memory.ts";
 import { createAcceptedEntry, createDeletionEntries, createProgressEntry } from "./job_records.ts";
+import { OccurrenceControl } from "./occurrence_control.ts";
 import { ShareMeter } from "./share_meter.ts";
 import type { RunControl } from "./run_control.ts";
 
@@ -40,13 +39,6 @@
   callbacks: { onAccepted: () => void; onRejected: () => void }[];
 }
 
-/** The next occurrence of a repeating job. */
-interface NextOccurrence {
-  occurrence: number;
-  /** The initial state of its tasks: unknown if an owner with a faster clock may have started it. */
-  state: TaskState;
-}
-
 /** Accepts, cancels, schedules and expires jobs. */
 export class JobControl {
   readonly #state: FleetState;
@@ -56,14 +48,12 @@
   readonly #shares = ShareMeter.create();
   /** The callbacks of the cancellations that are being stored, by job id. */
   readonly #cancelling = new Map<string, (() => void)[]>();
-  /** The repeating jobs with their next occurrence. */
-  readonly #scheduled = new Map<Job, NextOccurrence>();
-  /** The estimated memory of all jobs; completed occurrences are left out in time. */
-  readonly #memory = JobMemory.create();
+  readonly #occurrences: OccurrenceControl;
 
   private constructor(state: FleetState, runs: RunControl) {
     this.#state = state;
     this.#runs = runs;
+    this.#occurrences = OccurrenceControl.create(state);
   }
 
   /** Creates a `JobControl` that works on a fleet state. */
@@ -86,7 +76,7 @@
     const callbacks = [{ onAccepted, onRejected }];
     const job = Job.create({ ...submission, acceptedAt: state.timeOfDay });
     this.#accepting.set(submission.id, { job, callbacks });
-    this.#memory.add(job, 1);
+    state.jobMemory.count(job);
     // A later owner needs the queue to execute the job, even if operators have removed it since.
     const queue = state.createQueueEntry(job.queue);
     const entries = [createAcceptedEntry(job), ...(queue === undefined ? [] : [queue.entry])];
@@ -104,25 +94,34 @@
         repeats: job.specification.repeats,
         version: state.configuration.version,
       });
-      this.#schedule(job, TaskState.Waiting);
+      this.#occurrences.addJob(job, TaskState.Waiting);
+      this.#occurrences.addDue();
       for (const callback of callbacks) callback.onAccepted();
     }, () => {
       this.#accepting.delete(job.id);
+      state.jobMemory.remove(job);
       queue?.onRejected();
       for (const callback of callbacks) callback.onRejected();
     });
   }
 
-  /** Restores a job from the journal. */
-  restore(job: Job): void {
-    this.#state.jobs.set(job.id, job);
-    this.#memory.add(job, job.occurrences.size);
-    job.outcomeKnownSince = this.#state.now;
-    if (job.outcome !== undefined) return;
-    for (const steps of job.occurrences.values()) {
-      for (const step of steps) this.#state.addIfReady(step);
+  /** Restores the jobs in the journal. */
+  restore(jobs: readonly Job[]): void {
+    const state = this.#state;
+    for (const job of jobs) {
+      state.jobs.set(job.id, job);
+      job.outcomeKnownSince = state.now;
+      // All jobs are counted before an occurrence is added to one of them.
+      state.jobMemory.count(job);
     }
-    this.#schedule(job, TaskState.Unknown);
+    for (const job of jobs) {
+      if (job.outcome !== undefined) continue;
+      for (const steps of job.occurrences.values()) {
+        for (const step of steps) state.addIfReady(step);
+      }
+      this.#occurrences.addJob(job, TaskState.Unknown);
+    }
+    this.#occurrences.addDue();
   }
 
   /** Gets the state of a job as reported to callers, or undefined if the job is not known. */
@@ -130,9 +129,9 @@
     return this.#state.jobs.get(id)?.getVisibleState();
   }
 
-  /** Gets the estimated memory of the jobs that are accepted or being stored. */
-  getMemory(): JobMemory {
-    return this.#memory;
+  /** Gets the figures for the metrics. */
+  getSummary(): Readonly<Record<string, number>> {
+    return this.#occurrences.getSummary();
   }
 
   /** Gets the customer of a job that is accepted or being stored, and so may run. */
@@ -194,27 +193,22 @@
     });
   }
 
-  /** Adds the occurrences of repeating jobs that are due. */
+  /** Adds the occurrences that are due. */
   tick(): void {
-    for (const [job, next] of this.#scheduled) {
-      if (job.outcome !== undefined) this.#scheduled.delete(job);
-      else this.#addDueOccurrences(job, next);
-    }
+    this.#occurrences.addDue();
   }
 
-  /** Removes ended jobs whose retention period is over, and counts the memory of the jobs again. */
+  /** Removes ended jobs whose retention period is over. */
   removeExpired(): void {
     const state = this.#state;
     // Uses the monotonic clock, since the time of day may step and differs between owners.
     const oldest = state.now - state.limits.retentionMilliseconds;
-    this.#memory.clear();
-    for (const { job } of this.#accepting.values()) this.#memory.add(job, 1);
     for (const job of state.jobs.values()) {
-      this.#memory.add(job, job.occurrences.size);
       const isExpired = job.outcome !== undefined && job.isOutcomeStored &&
         job.outcomeKnownSince < oldest;
       if (!isExpired || [...job.getTasks()].some((task) => task.run !== undefined)) continue;
       state.jobs.delete(job.id);
+      state.jobMemory.remove(job);
       state.ports.write(createDeletionEntries(job), () => {});
     }
   }
@@ -251,36 +245,6 @@
     if (!state.features.anticipatesDemand) return;
     state.demandHistory.add(service, { at: state.now, resourceMilliseconds });
   }
-
-  #schedule(job: Job, state: TaskState): void {
-    if (job.specification.repeats === 0) {
-      if (!job.occurrences.has(0) && !job.doneOccurrences.has(0)) {
-        this.#state.addOccurrence(job, 0, state);
-      }
-      return;
-    }
-    this.#addDueOccurrences(job, { occurrence: 0, state });
-  }
-
-  #addDueOccurrences(job: Job, first: NextOccurrence): void {
-    const { state } = first;
-    let next = first.occurrence;
-    const isDue = () =>
-      next < job.getOccurrenceCount() && job.getDueAt(next) <= this.#state.timeOfDay;
-    // Further occurrences that are due follow once earlier ones are completed.
-    const isTooLarge = () =>
-      job.occurrences.size > 0 &&
-      (job.occurrences.size + 1) * getTaskCount(job.specification) >
-        this.#state.limits.jobLimits.maximumTasks;
-    while (isDue() && !isTooLarge()) {
-      if (!job.occurrences.has(next) && !job.doneOccurrences.has(next)) {
-        this.#state.addOccurrence(job, next, state);
-      }
-      next += 1;
-    }
-    if (next < job.getOccurrenceCount()) this.#scheduled.set(job, { occurrence: next, state });
-    else this.#scheduled.delete(job);
-  }
 }
 
 function countJobs(jobs: readonly Job[]): JobCounts {
--- a/src/owner/job_memory.ts
+++ b/src/owner/job_memory.ts
@@ -1,70 +1,175 @@
-/** Estimates the memory that an owner's jobs take. */
+/** Accounts for the memory of an owner's jobs, and decides what may be added to it. */
 
 import { getTaskCount } from "../fleet/job_limits.ts";
 import type { Job } from "../fleet/job.ts";
-import type { JobSpecification } from "../fleet/job_specification.ts";
+import { SharedBytes } from "./shared_bytes.ts";
 
-/** The memory of a job without its text, steps and tasks, in bytes. */
+/** The memory of a job without its text, steps and occurrences, in bytes. */
 const JOB_BYTES = 1_000;
-/** The memory of a step without its tasks, in bytes. */
+/** The memory of a step without its occurrences, in bytes. */
 const STEP_BYTES = 700;
 /** The memory of a task of an occurrence that is not completed, in bytes. */
 const TASK_BYTES = 500;
 
-/** Estimates the memory of a job with a number of occurrences that are not completed, in bytes. */
-function estimateJobBytes(specification: JobSpecification, occurrences: number): number {
-  return JOB_BYTES + specification.text.length + specification.steps.length * STEP_BYTES +
-    occurrences * getTaskCount(specification) * TASK_BYTES;
-}
-
-/** The part of the memory from which on those who hold most of it get no more. */
-const SHARED_FRACTION = 0.75;
-/** The part of the jobs that one holder has if it holds most of them. */
-const MOST_FRACTION = 0.5;
+const BYTES_PER_MEGABYTE = 1_048_576;
+/**
+ * The memory for the occurrences that jobs have beyond their first ones, in bytes: the same on most
+ * machines, so that a later owner on a smaller one does not inherit more.
+ */
+const MAXIMUM_FURTHER_BYTES = 16 * BYTES_PER_MEGABYTE;
+/** The part of the jobs' memory that such occurrences may take on a small machine. */
+const FURTHER_FRACTION = 0.25;
+/** The part of the jobs' memory that is for occurrences even if the rest of the jobs takes more. */
+const OCCURRENCES_FRACTION = 0.25;
 
 /** Whose job it is: a customer's in a queue. */
 export type JobHolder = Pick<Job, "queue" | "customer">;
 
-/** The estimated memory of jobs, by their holders. */
+/** What is counted for a job, in bytes. */
+interface JobAccount {
+  readonly holder: string;
+  /** The job without its occurrences. */
+  readonly specification: number;
+  /** One occurrence. */
+  readonly occurrence: number;
+  /** The occurrences that it has. */
+  occurrences: number;
+  /** The occurrences that it has beyond the first one, while it has not ended. */
+  further: number;
+  /** The first occurrence of a job that has not ended and has none at present. */
+  reserved: number;
+}
+
+/**
+ * The estimated memory of jobs, by their holders. Room for one occurrence of each job is reserved as
+ * long as the job has not ended; further occurrences share an amount that no number of jobs exceeds.
+ */
 export class JobMemory {
-  readonly #bytesByHolder = new Map<string, number>();
-  #bytes = 0;
+  readonly #maximumBytes: number;
+  readonly #maximumFurtherBytes: number;
+  readonly #accounts = new Map<Job, JobAccount>();
+  /** Everything that is counted, with the room that is reserved. */
+  readonly #total = SharedBytes.create();
+  readonly #occurrences = SharedBytes.create();
+  readonly #further = SharedBytes.create();
+  /** The room that is reserved for jobs without an occurrence. */
+  #reservedBytes = 0;
 
-  private constructor() {}
+  private constructor(maximumBytes: number) {
+    this.#maximumBytes = maximumBytes;
+    this.#maximumFurtherBytes = maximumBytes === Infinity
+      ? Infinity
+      : Math.min(MAXIMUM_FURTHER_BYTES, maximumBytes * FURTHER_FRACTION);
+  }
 
-  static create(): JobMemory {
-    return new JobMemory();
+  /** Creates the account of an owner without jobs, with the memory for its jobs in bytes. */
+  static create(maximumBytes = Infinity): JobMemory {
+    return new JobMemory(maximumBytes);
   }
 
-  /** Gets the estimated memory of all jobs, in bytes. */
+  /** Gets the estimated memory of all jobs with the room that is reserved for them, in bytes. */
   getBytes(): number {
-    return this.#bytes;
+    return this.#total.bytes;
   }
 
-  /** Adds a job with a number of occurrences that are not completed. */
-  add(job: JobHolder & Pick<Job, "specification">, occurrences: number): void {
-    const bytes = estimateJobBytes(job.specification, occurrences);
-    const holder = getHolderName(job);
-    this.#bytes += bytes;
-    this.#bytesByHolder.set(holder, (this.#bytesByHolder.get(holder) ?? 0) + bytes);
+  /** Gets the estimated memory of the occurrences that jobs have, in bytes. */
+  getOccurrenceBytes(): number {
+    return this.#occurrences.bytes;
   }
 
-  /** Removes all jobs. */
-  clear(): void {
-    this.#bytes = 0;
-    this.#bytesByHolder.clear();
+  /** Counts a job as it is now. Called again when its occurrences or its outcome change. */
+  count(job: Job): void {
+    let account = this.#accounts.get(job);
+    if (account === undefined) {
+      account = createAccount(job);
+      this.#accounts.set(job, account);
+      this.#total.add(account.holder, account.specification);
+    }
+    const { size } = job.occurrences;
+    const hasEnded = job.outcome !== undefined;
+    this.#set(account, {
+      occurrences: size * account.occurrence,
+      further: hasEnded ? 0 : Math.max(0, size - 1) * account.occurrence,
+      reserved: hasEnded || size > 0 ? 0 : account.occurrence,
+    });
+  }
+
+  /** Removes a job. */
+  remove(job: Job): void {
+    const account = this.#accounts.get(job);
+    if (account === undefined) return;
+    this.#accounts.delete(job);
+    this.#set(account, { occurrences: 0, further: 0, reserved: 0 });
+    this.#total.add(account.holder, -account.specification);
+  }
+
+  /** Gets whether a holder may have one more job. */
+  hasRoomForJob(holder: JobHolder): boolean {
+    return this.#total.isOpenTo(getHolderName(holder), this.#maximumBytes);
+  }
+
+  /** Gets whether a job that was counted may have one more occurrence now. */
+  hasRoomForOccurrence(job: Job): boolean {
+    const account = this.#accounts.get(job);
+    if (account === undefined) return false;
+    return job.occurrences.size === 0
+      ? this.#hasRoomForFirst(account)
+      : this.#hasRoomForFurther(account);
+  }
+
+  /**
+   * Gets whether a job may have its reserved occurrence: always, unless jobs that were accepted by an
+   * owner with more memory take more than this one has.
+   */
+  #hasRoomForFirst({ holder }: JobAccount): boolean {
+    if (this.#total.bytes <= this.#maximumBytes) return true;
+    const specifications = this.#total.bytes - this.#occurrences.bytes - this.#reservedBytes;
+    const maximumBytes = Math.max(
+      this.#maximumBytes - specifications,
+      this.#maximumBytes * OCCURRENCES_FRACTION,
+    );
+    return this.#occurrences.isOpenTo(holder, maximumBytes);
   }
 
   /**
-   * Gets whether a holder may have one more job. The last quarter of the memory is for those who
-   * don't hold most of the jobs.
+   * Gets whether a job may have one more occurrence beyond its first. A holder may have as much as it
+   * leaves to others, and a job as much as its holder may still have, so that later ones find room.
    */
-  hasRoom(holder: JobHolder, maximumBytes: number): boolean {
-    if (this.#bytes >= maximumBytes) return false;
-    if (this.#bytes < maximumBytes * SHARED_FRACTION) return true;
-    const held = this.#bytesByHolder.get(getHolderName(holder)) ?? 0;
-    return held <= this.#bytes * MOST_FRACTION;
+  #hasRoomForFurther({ holder, occurrence, further }: JobAccount): boolean {
+    if (this.#total.bytes + occurrence > this.#maximumBytes) return false;
+    const left = this.#maximumFurtherBytes - this.#further.bytes;
+    if (occurrence > left) return false;
+    const held = this.#further.getBytesOf(holder);
+    if (held === 0) return true;
+    if (held + occurrence > left) return false;
+    return further === 0 || further + occurrence <= left - held;
   }
+
+  #set(
+    account: JobAccount,
+    next: Pick<JobAccount, "occurrences" | "further" | "reserved">,
+  ): void {
+    const { holder } = account;
+    const added = next.occurrences - account.occurrences;
+    this.#occurrences.add(holder, added);
+    this.#further.add(holder, next.further - account.further);
+    const reserved = next.reserved - account.reserved;
+    this.#reservedBytes += reserved;
+    this.#total.add(holder, added + reserved);
+    Object.assign(account, next);
+  }
+}
+
+function createAccount(job: Job): JobAccount {
+  const { specification } = job;
+  return {
+    holder: getHolderName(job),
+    specification: JOB_BYTES + specification.text.length + specification.steps.length * STEP_BYTES,
+    occurrence: getTaskCount(specification) * TASK_BYTES,
+    occurrences: 0,
+    further: 0,
+    reserved: 0,
+  };
 }
 
 function getHolderName({ queue, customer }: JobHolder): string {
--- /dev/null
+++ b/src/owner/occurrence_control_test.ts
@@ -0,0 +1,244 @@
+import test from "ava";
+import { Configuration } from "../fleet/configuration.ts";
+import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
+import { RunEnd } from "../fleet/run.ts";
+import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
+import { createOwnerHarness, type OwnerHarness } from "../stand_ins/owner_harness.ts";
+import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
+import { readStoredJobs } from "./job_records.ts";
+import { OrderOutcome, type StartOrder } from "./owner_ports.ts";
+
+const EXECUTOR = createListedExecutor();
+const CONFIGURATION = Configuration.create({
+  version: 1,
+  queues: [createQueue()],
+  services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+  customers: [],
+  largestBodyBytes: 1,
+});
+const BYTES_PER_MEGABYTE = 1_048_576;
+/** A task takes more than this on the heap, in bytes. */
+const LEAST_TASK_BYTES = 400;
+/** How long the starts of an earlier owner are in doubt, in milliseconds. */
+const IN_DOUBT_MILLISECONDS = 6_695;
+
+/** Creates a job whose occurrences are all due. */
+function createRepeating(repeats: number, step: Partial<StepSpecification> = {}): JobSpecification {
+  return {
+    text: "",
+    steps: [createStepSpecification(step)],
+    repeats,
+    firstAt: -1_000_000,
+    intervalMilliseconds: 1,
+  };
+}
+
+function createOwner(maximumJobBytes: number, earlier?: OwnerHarness): OwnerHarness {
+  const stored = [...earlier?.journal ?? []];
+  return createOwnerHarness({
+    configuration: CONFIGURATION,
+    executors: [EXECUTOR],
+    maximumJobBytes,
+    stored,
+    jobs: readStoredJobs(stored).jobs,
+    inDoubtMilliseconds: earlier === undefined ? 0 : IN_DOUBT_MILLISECONDS,
+  });
+}
+
+function submit(
+  { owner }: OwnerHarness,
+  id: string,
+  specification: JobSpecification,
+  customer = "",
+): void {
+  owner.submit({ id, queue: "tugs", customer, specification }, () => {});
+}
+
+function getJobId(number: number): string {
+  return String(number).padStart(16, "0");
+}
+
+/** An executor that carries out orders, and reports the end of each run in the next step. */
+class ExecutorFixture {
+  readonly started: string[] = [];
+  #endCount = 0;
+  #running: StartOrder[] = [];
+  #handledStarts = 0;
+
+  /** Advances the owner by one step, in which the runs of earlier steps end. */
+  advance({ owner, advance, starts }: OwnerHarness): void {
+    const ended = this.#running.map(({ task, run }) => {
+      this.#endCount += 1;
+      return { number: this.#endCount, task, run, end: RunEnd.Done, checkpoint: "" };
+    });
+    this.#running = starts.slice(this.#handledStarts);
+    this.#handledStarts = starts.length;
+    this.started.push(...this.#running.map(({ task }) => task));
+    const running = this.#running.map(({ task, run }) => ({
+      task,
+      run,
+      checkpoint: "",
+      percent: 0,
+      usage: 0,
+    }));
+    const { id, born } = EXECUTOR;
+    const report = { born, executorTime: 0, running, ended, hasAllEnds: true };
+    advance(() => {
+      for (const { task, run } of this.#running) {
+        owner.handleStartAnswer(id, task, run, { outcome: OrderOutcome.Done, executorTime: 0 });
+      }
+      owner.handlePollAnswer(id, Infinity, {
+        outcome: OrderOutcome.Done,
+        acknowledged: this.#endCount,
+        report,
+      });
+    });
+  }
+
+  /** Advances the owner until it starts nothing any more. */
+  finish(owner: OwnerHarness): void {
+    const getProgress = () => owner.starts.length + this.#running.length;
+    for (let idle = 0; idle < 3;) {
+      const before = getProgress();
+      this.advance(owner);
+      idle = getProgress() === before && this.#running.length === 0 ? idle + 1 : 0;
+    }
+  }
+
+  /** Continues with the next owner, to which the runs of the earlier one are reported. */
+  takeOver(): void {
+    this.#handledStarts = 0;
+  }
+}
+
+// Guards against the memory that the due occurrences of several jobs take together.
+test("the due occurrences of many repeating jobs stay within the memory for jobs", (t) => {
+  const maximumBytes = 4 * BYTES_PER_MEGABYTE;
+  const harness = createOwner(maximumBytes);
+  for (let number = 0; number < 12; number += 1) {
+    harness.advance(() => submit(harness, getJobId(number), createRepeating(28_000)));
+  }
+  for (let step = 0; step < 3; step += 1) harness.advance();
+  const { readySteps } = harness.owner.getSummary();
+  t.true(readySteps! * LEAST_TASK_BYTES <= maximumBytes, `${readySteps} tasks wait`);
+  t.true(harness.owner.getJobMemory().getBytes() <= maximumBytes);
+});
+
+// Guards against a later owner that adds all due occurrences of the stored jobs.
+test("a take-over keeps the due occurrences of the stored jobs within the memory for jobs", (t) => {
+  const maximumBytes = 4 * BYTES_PER_MEGABYTE;
+  const first = createOwner(Infinity);
+  for (let number = 0; number < 12; number += 1) {
+    submit(first, getJobId(number), createRepeating(28_000));
+  }
+  const next = createOwner(maximumBytes, first);
+  const { readySteps } = next.owner.getSummary();
+  t.true(readySteps! * LEAST_TASK_BYTES <= maximumBytes, `${readySteps} tasks wait`);
+});
+
+// Guards against jobs that were accepted with more memory than the present owner has.
+test("an owner with less memory holds the jobs of an earlier one in turn, and executes all", (t) => {
+  const maximumBytes = BYTES_PER_MEGABYTE;
+  const first = createOwner(Infinity);
+  const jobs = 40;
+  for (let number = 0; number < jobs; number += 1) {
+    const specification = {
+      ...createRepeating(0, { count: 300, demand: { cpu: 1, memory: 1, accelerators: 0 } }),
+    };
+    submit(first, getJobId(number), specification, `customer-${number % 2}`);
+  }
+  const next = createOwner(maximumBytes, first);
+  const held = next.owner.getSummary()["heldOccurrenceBytes"]!;
+  t.true(held <= maximumBytes + 300 * 1_000, `${held} bytes`);
+  const executor = new ExecutorFixture();
+  executor.finish(next);
+  t.is(executor.started.length, jobs * 300);
+  t.is(new Set(executor.started).size, jobs * 300);
+});
+
+// Guards against occurrences that are dropped, or added twice, since they waited for memory.
+test("each occurrence that waits for memory is executed once, also across a take-over", (t) => {
+  const repeats = 300;
+  const maximumBytes = 200_000;
+  const first = createOwner(maximumBytes);
+  const executor = new ExecutorFixture();
+  executor.advance(first);
+  const demand = { cpu: 400, memory: 1, accelerators: 0 };
+  for (let number = 0; number < 3; number += 1) {
+    submit(first, getJobId(number), createRepeating(repeats, { demand }));
+  }
+  for (let step = 0; step < 12; step += 1) executor.advance(first);
+  const startedBefore = executor.started.length;
+  const next = createOwner(maximumBytes, first);
+  executor.takeOver();
+  executor.finish(next);
+  t.true(startedBefore > 20 && startedBefore < 500, `${startedBefore} tasks before`);
+  t.is(new Set(executor.started).size, 3 * repeats);
+  t.is(executor.started.length, 3 * repeats);
+  const states = [0, 1, 2].map((number) => next.owner.getJobState(getJobId(number)));
+  t.deepEqual(states, ["completed", "completed", "completed"]);
+});
+
+// Guards against ordinary jobs that wait for a backlog of due occurrences.
+test("a job that is submitted beside a backlog of due occurrences begins before it", (t) => {
+  const harness = createOwner(4 * BYTES_PER_MEGABYTE);
+  const executor = new ExecutorFixture();
+  executor.advance(harness);
+  for (let number = 0; number < 12; number += 1) {
+    submit(harness, getJobId(number), createRepeating(28_000));
+  }
+  for (let step = 0; step < 4; step += 1) executor.advance(harness);
+  t.true(harness.owner.getSummary()["delayedJobs"]! > 0);
+  t.true(harness.owner.getJobMemory().hasRoomForJob({ queue: "tugs", customer: "" }));
+  const before = executor.started.length;
+  submit(harness, getJobId(99), { ...createRepeating(0) });
+  for (let step = 0; step < 4; step += 1) executor.advance(harness);
+  const position = executor.started.slice(before).findIndex((task) =>
+    task.startsWith(getJobId(99))
+  );
+  t.true(position >= 0 && position < 40, `start ${position}`);
+});
+
+// Guards against a customer that takes all memory for due occurrences.
+test("jobs of two customers share the memory for due occurrences", (t) => {
+  const harness = createOwner(4 * BYTES_PER_MEGABYTE);
+  submit(harness, getJobId(1), createRepeating(28_000), "first");
+  submit(harness, getJobId(2), createRepeating(28_000), "first");
+  harness.advance();
+  const one = harness.owner.getSummary()["readySteps"]!;
+  submit(harness, getJobId(3), createRepeating(28_000), "second");
+  harness.advance();
+  const both = harness.owner.getSummary()["readySteps"]!;
+  t.true(both - one > one / 4, `${one} of the first customer, ${both - one} of the second`);
+});
+
+// Guards against a job whose backlog lets only one occurrence at a time of later jobs run.
+test("jobs of one customer share the memory for due occurrences", (t) => {
+  const harness = createOwner(4 * BYTES_PER_MEGABYTE);
+  const executor = new ExecutorFixture();
+  executor.advance(harness);
+  for (let number = 0; number < 3; number += 1) {
+    submit(harness, getJobId(number), createRepeating(2_000));
+    harness.advance();
+  }
+  for (let step = 0; step < 100; step += 1) executor.advance(harness);
+  const counts = [0, 1, 2].map((number) =>
+    executor.started.filter((task) => task.startsWith(getJobId(number))).length
+  );
+  t.true(Math.min(...counts) > Math.max(...counts) / 2, `${counts.join(", ")} starts`);
+});
+
+// Guards against jobs that hold little until a time at which all of them are due.
+test("room for one occurrence of each job is reserved until the job has ended", (t) => {
+  const maximumBytes = BYTES_PER_MEGABYTE;
+  const harness = createOwner(maximumBytes);
+  const holder = { queue: "tugs", customer: "" };
+  let accepted = 0;
+  while (accepted < 10_000 && harness.owner.getJobMemory().hasRoomForJob(holder)) {
+    submit(harness, getJobId(accepted), { ...createRepeating(2, { count: 100 }), firstAt: 20_000 });
+    accepted += 1;
+    if (accepted % 10 === 0) { for (let step = 0; step < 210; step += 1) harness.advance(); }
+  }
+  t.is(harness.owner.getSummary()["readySteps"], 0);
+  t.true(accepted * 100 * LEAST_TASK_BYTES <= maximumBytes * 1.1, `${accepted} jobs`);
+});
--- a/src/owner/owner_task.ts
+++ b/src/owner/owner_task.ts
@@ -121,8 +121,6 @@
   maintenanceMilliseconds: number;
   /** The limits and durations. */
   limits: Omit<OwnerLimits, "earlierLeases">;
-  /** The estimated memory of jobs from which on no more are accepted, in bytes; no limit if unset. */
-  maximumJobBytes?: number | undefined;
   /** Called when a job is refused since the owner holds too many. */
   onFull?: (() => void) | undefined;
   /** The scheduling features that are on; none by default. */
@@ -369,7 +367,6 @@
       getClaimAge: () => this.#getClaimAge(),
       isStoreUnavailable: () => this.#isStoreUnavailable(),
       jobLimits: limits.jobLimits,
-      maximumJobBytes: this.#options.maximumJobBytes,
       onFull: this.#options.onFull,
       log,
     });
--- a/src/owner/poll_control.ts
+++ b/src/owner/poll_control.ts
@@ -350,7 +350,7 @@
     const job = parts && this.#state.jobs.get(parts.jobId);
     if (parts === undefined || job === undefined) return undefined;
     if (job.outcome !== undefined && !job.occurrences.has(parts.occurrence)) {
-      job.addOccurrence(parts.occurrence, TaskState.Waiting);
+      this.#state.addOccurrence(job, parts.occurrence, TaskState.Waiting);
     }
     return this.#state.findOrAddReportedTask(name);
   }
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -253,6 +253,7 @@
     job.outcome = outcome;
     job.endedAt = state.timeOfDay;
     job.outcomeKnownSince = state.now;
+    state.jobMemory.count(job);
     state.changedJobs.add(job);
     state.log("job-end", {
       request: job.id,
@@ -349,8 +350,7 @@
       }
       return;
     }
-    job.occurrences.delete(step.occurrence);
-    job.doneOccurrences.add(step.occurrence);
+    state.completeOccurrence(job, step.occurrence);
     if (job.doneOccurrences.size === job.getOccurrenceCount()) {
       this.endJob(job, JobState.Completed, "all tasks done");
     }
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -27,6 +27,8 @@
   jobs?: readonly Job[];
   /** The entries stored by earlier owners, by key. */
   stored?: readonly (readonly [string, Uint8Array])[];
+  /** The memory for jobs, in bytes; no limit if unset. */
+  maximumJobBytes?: number;
   /** How long the starts of earlier owners are in doubt, in milliseconds. */
   inDoubtMilliseconds?: number;
   /** The same at executors that their hosts no longer run, in milliseconds. */
@@ -87,6 +89,7 @@
       stopMilliseconds: 900,
       longestLeaseMilliseconds: 10_000,
       jobLimits: JOB_LIMITS,
+      maximumJobBytes: options.maximumJobBytes,
       earlierLeases: { reckonedMilliseconds: 0, longestMilliseconds: 0 },
       offRackFactor: 1,
     },
