Estimate the memory of jobs by what they take on the heap

What callers may see: jobs inside the limits of the pages that are counted as nearly nothing, for instance one task that names an image of 200,000 characters, are accepted until the owner's process ends by the heap limit.

Cause: JobMemory counted 500 bytes a task and 700 bytes a step once, but not the steps of further occurrences, the runs, the labels, racks and images, or the lists of earlier steps.

Change: the estimates stand in job_size.ts, cover the texts and lists that callers send, and a task with its run, since tasks that need little all run at once.

--- a/src/owner/job_memory.ts
+++ b/src/owner/job_memory.ts
@@ -1,16 +1,9 @@
 /** Accounts for the memory of an owner's jobs, and decides what may be added to it. */
 
-import { getTaskCount } from "../fleet/job_limits.ts";
 import type { Job } from "../fleet/job.ts";
+import { estimateOccurrenceBytes, estimateSpecificationBytes } from "./job_size.ts";
 import { SharedBytes } from "./shared_bytes.ts";
 
-/** The memory of a job without its text, steps and occurrences, in bytes. */
-const JOB_BYTES = 1_000;
-/** The memory of a step without its occurrences, in bytes. */
-const STEP_BYTES = 700;
-/** The memory of a task of an occurrence that is not completed, in bytes. */
-const TASK_BYTES = 500;
-
 const BYTES_PER_MEGABYTE = 1_048_576;
 /**
  * The memory for the occurrences that jobs have beyond their first ones, in bytes: the same on most
@@ -164,8 +157,8 @@
   const { specification } = job;
   return {
     holder: getHolderName(job),
-    specification: JOB_BYTES + specification.text.length + specification.steps.length * STEP_BYTES,
-    occurrence: getTaskCount(specification) * TASK_BYTES,
+    specification: estimateSpecificationBytes(specification),
+    occurrence: estimateOccurrenceBytes(specification),
     occurrences: 0,
     further: 0,
     reserved: 0,
