Let late jobs take turns with the backlog of repeating jobs

What callers saw: with the memory of due occurrences bounded, a job of one task that was submitted beside 8 repeating jobs with 28,000 due occurrences each did not begin within 30 s, in a run of three executors and real hosts (due_occurrences_test as it was first written, at the previous commit). The queue had no objective; with one, the same holds for a job that misses it, for instance during a take-over.

Cause: steps that have missed their objective start in the order of their deadlines, and those of occurrences that were due long ago come first. All of the backlog precedes each later job.

Change: of the steps that have missed their objective, one occurrence of each job comes before the others, and the first one of a repeating job counts from the job's last start if that was later than its deadline. Repeating jobs and late jobs so take turns; a job that doesn't repeat is ranked as before.

--- a/src/fleet/job.ts
+++ b/src/fleet/job.ts
@@ -119,6 +119,8 @@
   outcomeKnownSince = 0;
   /** Whether an executor is known to have started a task. */
   hasStarted = false;
+  /** When this owner last ordered the start of a task, in milliseconds since 1970; 0 if never. */
+  lastStartAt = 0;
   /** Whether its customer exceeded its share at the time of submission. */
   exceedsFairShare = false;
 
@@ -188,6 +190,12 @@
     return steps;
   }
 
+  /** Gets whether the job has had another occurrence for longer that is not completed. */
+  isFurther(occurrence: number): boolean {
+    const [first = occurrence] = this.occurrences.keys();
+    return occurrence !== first;
+  }
+
   /** Gets whether all steps that a step depends on are completed. */
   isReady(step: JobStep): boolean {
     const steps = this.occurrences.get(step.occurrence) ?? [];
--- a/src/owner/occurrence_control_test.ts
+++ b/src/owner/occurrence_control_test.ts
@@ -3,7 +3,11 @@
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
 import { RunEnd } from "../fleet/run.ts";
 import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
-import { createOwnerHarness, type OwnerHarness } from "../stand_ins/owner_harness.ts";
+import {
+  createOwnerHarness,
+  type OwnerHarness,
+  type OwnerHarnessOptions,
+} from "../stand_ins/owner_harness.ts";
 import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { readStoredJobs } from "./job_records.ts";
 import { OrderOutcome, type StartOrder } from "./owner_ports.ts";
@@ -33,7 +37,11 @@
   };
 }
 
-function createOwner(maximumJobBytes: number, earlier?: OwnerHarness): OwnerHarness {
+function createOwner(
+  maximumJobBytes: number,
+  earlier?: OwnerHarness,
+  options: Partial<OwnerHarnessOptions> = {},
+): OwnerHarness {
   const stored = [...earlier?.journal ?? []];
   return createOwnerHarness({
     configuration: CONFIGURATION,
@@ -42,6 +50,7 @@
     stored,
     jobs: readStoredJobs(stored).jobs,
     inDoubtMilliseconds: earlier === undefined ? 0 : IN_DOUBT_MILLISECONDS,
+    ...options,
   });
 }
 
@@ -199,6 +208,34 @@
   t.true(position >= 0 && position < 40, `start ${position}`);
 });
 
+// Guards against jobs that are too late for their objective and wait for all of a longer backlog.
+for (const ordersBacklog of [false, true]) {
+  const ranking = ordersBacklog ? "with an ordered backlog" : "by urgency";
+  test(`a late job begins before further occurrences of others, ${ranking}`, (t) => {
+    const harness = createOwner(4 * BYTES_PER_MEGABYTE, undefined, {
+      configuration: Configuration.create({
+        version: 1,
+        queues: [createQueue({ stretch: 1, objectiveMilliseconds: 0 })],
+        services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+        customers: [],
+        largestBodyBytes: 1,
+      }),
+      features: { ordersBacklog, reservesRoom: false, anticipatesDemand: false },
+    });
+    const executor = new ExecutorFixture();
+    executor.advance(harness);
+    for (let number = 0; number < 12; number += 1) {
+      submit(harness, getJobId(number), createRepeating(28_000));
+    }
+    submit(harness, getJobId(99), createRepeating(0));
+    // The tasks that run take longer than the objective of the job.
+    for (let step = 0; step < 100; step += 1) harness.advance();
+    for (let step = 0; step < 20; step += 1) executor.advance(harness);
+    const position = executor.started.findIndex((task) => task.startsWith(getJobId(99)));
+    t.true(position >= 0 && position < 40, `start ${position} of ${executor.started.length}`);
+  });
+}
+
 // Guards against a customer that takes all memory for due occurrences.
 test("jobs of two customers share the memory for due occurrences", (t) => {
   const harness = createOwner(4 * BYTES_PER_MEGABYTE);
--- a/src/owner/overload_control.ts
+++ b/src/owner/overload_control.ts
@@ -3,7 +3,7 @@
 import type { JobStep } from "../fleet/job.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { PoolShares } from "./pool_shares.ts";
-import { compareRanks, getPriority, type StepRank } from "./step_ranking.ts";
+import { compareRanks, getPriority, getTurn, type StepRank } from "./step_ranking.ts";
 import { getStepUsefulness, Usefulness } from "./step_usefulness.ts";
 
 /** The waiting time from which a step belongs to a backlog, in milliseconds. */
@@ -23,7 +23,9 @@
   Priority: 3,
   /** 0 for jobs that have started, whose work would be lost if they came too late. */
   HasNotStarted: 4,
-  Urgency: 5,
+  /** 1 for occurrences beyond the first one of their job that have missed their objective. */
+  IsFurther: 5,
+  Urgency: 6,
 } as const;
 
 /** The waiting steps of a service and the shares of its pool. */
@@ -143,10 +145,13 @@
     const state = this.#state;
     const priority = getPriority(state, step);
     const { job, specification } = step;
-    if (specification.isLasting) return [0, 0, 0, priority, 0, job.acceptedAt];
+    if (specification.isLasting) return [0, 0, 0, priority, 0, 0, job.acceptedAt];
     const { usefulness, deadline, remaining, hasStarted } = getStepUsefulness(state, step);
-    const urgency = getUrgency(usefulness, deadline, remaining);
-    return [1, usefulness, 0, priority, Number(!hasStarted), urgency];
+    const [isFurther, turn] = usefulness >= Usefulness.Late
+      ? getTurn(step, deadline)
+      : [0, deadline];
+    const urgency = getUrgency(usefulness, turn, remaining);
+    return [1, usefulness, 0, priority, Number(!hasStarted), isFurther, urgency];
   }
 
   /** Updates the figures, and logs them if a step has been waiting for long. */
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -69,6 +69,7 @@
       usage: 0,
     };
     state.addRun(executor, { run, task });
+    task.step.job.lastStartAt = state.timeOfDay;
     state.log("task-start", {
       request: task.step.job.id,
       task: task.name,
--- a/src/owner/step_ranking.ts
+++ b/src/owner/step_ranking.ts
@@ -27,7 +27,8 @@
  * This matters when the load exceeds the pool's capacity. In order of arrival every job would wait
  * for the whole backlog and miss its objective; in this ranking jobs that have already missed
  * theirs yield to jobs that can still meet it. Jobs beyond their customer's fair share come after
- * jobs within it.
+ * jobs within it. Of the occurrences that have missed their objective, one of each job comes before
+ * the others, and repeating jobs take turns with late jobs, so that their backlog holds up none.
  */
 export function createUrgencyRanking(
   state: FleetState,
@@ -36,7 +37,7 @@
   return (step) => {
     const { specification, job } = step;
     const priority = getPriority(state, step);
-    if (specification.isLasting) return [0, priority, job.acceptedAt, 0, 0];
+    if (specification.isLasting) return [0, priority, job.acceptedAt];
     const deadline = getDeadline(state, durationEstimator, step);
     const remaining = getCriticalPathMilliseconds(durationEstimator, job, step.number);
     const isMissed = state.timeOfDay + remaining > deadline;
@@ -45,7 +46,7 @@
       Number(isMissed || job.exceedsFairShare),
       priority,
       Number(job.exceedsFairShare),
-      deadline,
+      ...(isMissed ? getTurn(step, deadline) : [0, deadline]),
     ];
   };
 }
@@ -76,6 +77,16 @@
   return 0;
 }
 
+/**
+ * Gets the rank among steps that have missed their objective: first an occurrence of each job, in the
+ * order of their deadlines or of the last starts of repeating jobs, then the further occurrences.
+ */
+export function getTurn({ job, occurrence }: JobStep, deadline: number): [number, number] {
+  if (job.specification.repeats === 0) return [0, deadline];
+  if (job.isFurther(occurrence)) return [1, deadline];
+  return [0, Math.max(deadline, job.lastStartAt)];
+}
+
 /** Gets when a step's occurrence must end to meet its objective, in milliseconds since 1970. */
 function getDeadline(
   state: FleetState,
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -13,6 +13,7 @@
   type StopOrder,
 } from "../owner/owner_ports.ts";
 import { DEFAULT_CAPACITY_POLICY } from "../owner/pool_need.ts";
+import type { SchedulingFeatures } from "../owner/scheduling_features.ts";
 import { JOB_LIMITS } from "./fleet_fixtures.ts";
 
 /** The time between two steps, in milliseconds: the owner's tick interval. */
@@ -29,6 +30,8 @@
   stored?: readonly (readonly [string, Uint8Array])[];
   /** The memory for jobs, in bytes; no limit if unset. */
   maximumJobBytes?: number;
+  /** The scheduling features that are on; none by default. */
+  features?: SchedulingFeatures;
   /** How long the starts of earlier owners are in doubt, in milliseconds. */
   inDoubtMilliseconds?: number;
   /** The same at executors that their hosts no longer run, in milliseconds. */
@@ -93,6 +96,7 @@
       earlierLeases: { reckonedMilliseconds: 0, longestMilliseconds: 0 },
       offRackFactor: 1,
     },
+    features: options.features,
     ports,
     log: ignore,
     startedAt: 0,
