Keep completed occurrences as ranges

What callers may see: a job that repeats often makes its owner hold and write a number for each completed occurrence with every change of its progress, behind which the writes of all other jobs wait, until the store takes it no more.

Cause: the completed occurrences were a set of numbers, and a list of all of them in the record of a job's progress.

Ranges end at occurrences that the job still has, whose number JobMemory bounds.

--- a/src/fleet/job.ts
+++ b/src/fleet/job.ts
@@ -5,6 +5,7 @@
   type JobSpecification,
   type StepSpecification,
 } from "./job_specification.ts";
+import { OccurrenceSet } from "./occurrence_set.ts";
 import type { Run } from "./run.ts";
 
 /** The state of a job as callers see it. */
@@ -108,7 +109,7 @@
   /** The steps of the occurrences that are due but not completed, by occurrence. */
   readonly occurrences = new Map<number, JobStep[]>();
   /** The completed occurrences. */
-  readonly doneOccurrences = new Set<number>();
+  readonly doneOccurrences = OccurrenceSet.create();
   /** The outcome, once it is decided; callers do not see it before it is stored. */
   outcome: JobState | undefined;
   /** Whether the outcome is stored. */
--- a/src/owner/job_records.ts
+++ b/src/owner/job_records.ts
@@ -24,10 +24,16 @@
 /** The stored done tasks of a step with many tasks: a bit for each, the lowest index first. */
 type StepRecord = [occurrence: number, step: number, doneTasks: Uint8Array];
 
+/** Two or more completed occurrences that follow each other. */
+type OccurrenceRange = [first: number, count: number];
+
 interface ProgressRecord {
   outcome?: JobState | undefined;
   endedAt: number;
+  /** The completed occurrences without the ranges; records of old versions list all here. */
   doneOccurrences: number[];
+  /** The ranges of completed occurrences. Records of old versions have none. */
+  doneRanges?: OccurrenceRange[];
   tasks: TaskRecord[];
   /** The steps with more tasks than `MAXIMUM_LISTED_TASKS`. Records of old versions have none. */
   steps?: StepRecord[];
@@ -58,10 +64,17 @@
 function createProgressRecord(job: Job, hasCheckpoints: boolean): ProgressRecord {
   const tasks: TaskRecord[] = [];
   const steps: StepRecord[] = [];
+  const doneOccurrences: number[] = [];
+  const doneRanges: OccurrenceRange[] = [];
+  for (const [first, count] of job.doneOccurrences.getRanges()) {
+    if (count === 1) doneOccurrences.push(first);
+    else doneRanges.push([first, count]);
+  }
   const record = {
     outcome: job.outcome,
     endedAt: job.endedAt,
-    doneOccurrences: [...job.doneOccurrences],
+    doneOccurrences,
+    ...(doneRanges.length > 0 ? { doneRanges } : {}),
     tasks,
   };
   if (job.outcome !== undefined) return record;
@@ -140,6 +153,7 @@
   job.isOutcomeStored = record.outcome !== undefined;
   job.endedAt = record.endedAt;
   for (const occurrence of record.doneOccurrences) job.doneOccurrences.add(occurrence);
+  for (const [first, count] of record.doneRanges ?? []) job.doneOccurrences.addRange(first, count);
   for (const [name, isDone, failedRuns, checkpoint] of record.tasks) {
     const parts = parseTaskName(name);
     const task = parts && findOrAddTask(job, parts.occurrence, parts.step, parts.index);
--- a/src/owner/occurrence_control.ts
+++ b/src/owner/occurrence_control.ts
@@ -49,7 +49,7 @@
     for (const [job, next] of this.#next) {
       this.#skipKnown(job, next);
       const hasEnded = job.outcome !== undefined;
-      if (hasEnded || next.occurrence === job.getOccurrenceCount()) {
+      if (hasEnded || next.occurrence >= job.getOccurrenceCount()) {
         this.#next.delete(job);
         continue;
       }
@@ -76,8 +76,9 @@
 
   /** Skips occurrences that are completed, or that were added since an executor reported them. */
   #skipKnown(job: Job, next: NextOccurrence): void {
-    while (job.occurrences.has(next.occurrence) || job.doneOccurrences.has(next.occurrence)) {
-      next.occurrence += 1;
+    next.occurrence = job.doneOccurrences.findMissing(next.occurrence);
+    while (job.occurrences.has(next.occurrence)) {
+      next.occurrence = job.doneOccurrences.findMissing(next.occurrence + 1);
     }
   }
 
--- a/src/platform/unstorable_progress_test.ts
+++ b/src/platform/unstorable_progress_test.ts
@@ -1,7 +1,8 @@
 import { setTimeout as delay } from "node:timers/promises";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { Configuration } from "../fleet/configuration.ts";
 import { Job } from "../fleet/job.ts";
+import { parseTaskName } from "../fleet/job_specification.ts";
 import { RunEnd } from "../fleet/run.ts";
 import { CallKind } from "../front/call.ts";
 import { createAcceptedEntry, createProgressEntry } from "../owner/job_records.ts";
@@ -20,7 +21,7 @@
 import { RunHistory } from "./stand_in/run_history.ts";
 import { StoreStandIn } from "./stand_in/store_stand_in.ts";
 import { StoreClient } from "./store_client.ts";
-import { createJournalStore } from "./store_ports.ts";
+import { createJournalStore, type StoreLimits } from "./store_ports.ts";
 
 const EXECUTOR = createListedExecutor({ id: "i-1", born: 1_000 });
 const CONFIGURATION = Configuration.create({
@@ -32,46 +33,64 @@
 });
 /** The occurrences that are left of a repeating job. */
 const OCCURRENCES_LEFT = 40;
+/** The limits of a store that takes less in a call. */
+const SMALL_STORE_LIMITS = { ...STORE_LIMITS, callBytes: 2_000 };
 /** More than the bytes that the parts of a split value add. */
 const SPLIT_HEADER_BYTES = 50;
+const SHORT_RUN_MILLISECONDS = 30;
+const LONG_RUN_MILLISECONDS = 3_600_000;
 
-/** Creates a repeating job whose progress grows beyond a call of the store with its next occurrences. */
-function createLongRepeatingJob(): Job {
-  const createJob = (repeats: number) =>
-    Job.create({
-      id: "00000000000000a1",
-      queue: "tugs",
-      customer: "",
-      specification: {
-        text: "",
-        steps: [createStepSpecification({ demand: { cpu: 1, memory: 1, accelerators: 0 } })],
-        repeats,
-        firstAt: 1,
-        intervalMilliseconds: 1,
-      },
-      acceptedAt: 1,
-    });
+function createRepeatingJob(repeats: number): Job {
+  return Job.create({
+    id: "00000000000000a1",
+    queue: "tugs",
+    customer: "",
+    specification: {
+      text: "",
+      steps: [createStepSpecification({ demand: { cpu: 1, memory: 1, accelerators: 0 } })],
+      repeats,
+      firstAt: 1,
+      intervalMilliseconds: 1,
+    },
+    acceptedAt: 1,
+  });
+}
+
+/**
+ * Creates a job of which every second occurrence is done: its progress grows beyond a call of the
+ * small store with the next ones, as those between them take long.
+ */
+function createJobWithGaps(): Job {
   const getSize = (job: Job) =>
     createProgressEntry(job, JOB_LIMITS.maximumValueBytes).value!.length;
-  const getDone = (bytes: number) => {
-    const job = createJob(1);
-    let done = 0;
-    for (const step of [100_000, 10_000, 1_000, 100, 10, 1]) {
-      do {
-        for (const end = done + step; done < end; done += 1) job.doneOccurrences.add(done);
-      } while (getSize(job) <= bytes);
-      for (const end = done - step; done > end; done -= 1) job.doneOccurrences.delete(done - 1);
-    }
-    return done;
-  };
-  const done = getDone(STORE_LIMITS.callBytes - SPLIT_HEADER_BYTES);
-  const job = createJob(done + OCCURRENCES_LEFT);
-  for (let occurrence = 0; occurrence < done; occurrence += 1) job.doneOccurrences.add(occurrence);
+  const trial = createRepeatingJob(1);
+  let next = 0;
+  while (getSize(trial) <= SMALL_STORE_LIMITS.callBytes - SPLIT_HEADER_BYTES) {
+    trial.doneOccurrences.add(next);
+    next += 2;
+  }
+  const job = createRepeatingJob(next + 2 * OCCURRENCES_LEFT);
+  for (let done = 0; done < next - 2; done += 2) job.doneOccurrences.add(done);
   return job;
 }
 
-// Guards against ends that are acknowledged although their progress was refused by the store.
-test("no task is repeated whose progress is too large for the store", async (t) => {
+/** Gets how long a run takes: those of odd occurrences go on for long. */
+function getRunMilliseconds(task: string): number {
+  const { occurrence } = parseTaskName(task)!;
+  return occurrence % 2 === 0 ? SHORT_RUN_MILLISECONDS : LONG_RUN_MILLISECONDS;
+}
+
+interface Play {
+  /** The stored job. */
+  job: Job;
+  /** The limits of the store. */
+  limits: StoreLimits;
+  /** Gets how long a run takes, in milliseconds. */
+  getRunMilliseconds: (task: string) => number;
+}
+
+/** Has two owners in turn execute a job, and gets the tasks that were repeated. */
+async function play(t: ExecutionContext, { job, limits, getRunMilliseconds }: Play) {
   const storeStandIn = StoreStandIn.create();
   const address = await storeStandIn.listen();
   const history = RunHistory.create();
@@ -81,7 +100,7 @@
     startedAt: performance.now(),
     stopMilliseconds: 20,
     startupMilliseconds: 20,
-    planRun: () => ({ durationMilliseconds: 30, end: RunEnd.Done }),
+    planRun: (task) => ({ durationMilliseconds: getRunMilliseconds(task), end: RunEnd.Done }),
     onStart: (run) => history.addStart(EXECUTOR.id, run),
     onEnd: (run, end) => history.addEnd(EXECUTOR.id, run, end),
     onAcknowledged: (end) => history.addAcknowledgement(EXECUTOR.id, end),
@@ -107,7 +126,7 @@
   const createStore = () => {
     const store = StoreClient.create(address, () => {});
     stores.push(store);
-    return createJournalStore(store, STORE_LIMITS);
+    return createJournalStore(store, limits);
   };
   t.teardown(() => {
     for (const owner of owners) owner.stop();
@@ -130,7 +149,6 @@
     owner.post({ kind: "executors", entries: [EXECUTOR] });
     return owner;
   };
-  const job = createLongRepeatingJob();
   const first = createStore();
   const accepted = createAcceptedEntry(job);
   const progress = createProgressEntry(job, JOB_LIMITS.maximumValueBytes);
@@ -154,5 +172,20 @@
   owner.stop();
   open(2);
   await delay(2_500);
-  t.deepEqual(history.violations, []);
+  return history.violations;
+}
+
+// Guards against ends that are acknowledged although their progress was refused by the store.
+test("no task is repeated whose progress is too large for the store", async (t) => {
+  const job = createJobWithGaps();
+  t.deepEqual(await play(t, { job, limits: SMALL_STORE_LIMITS, getRunMilliseconds }), []);
+});
+
+// Guards against progress that grows with each completed occurrence until no store takes it.
+test("no task is repeated of a job with 445,681 completed occurrences", async (t) => {
+  const done = 445_681;
+  const job = createRepeatingJob(done + OCCURRENCES_LEFT);
+  job.doneOccurrences.addRange(0, done);
+  const getRunMilliseconds = () => SHORT_RUN_MILLISECONDS;
+  t.deepEqual(await play(t, { job, limits: STORE_LIMITS, getRunMilliseconds }), []);
 });
