Bound the progress that waits for the store

What callers may see: while the store doesn't answer, ends go on, and the memory of the owner grows with each of them until its process ends.

Cause: each turn of the event loop wrote the whole progress of each changed job, however much earlier progress waited for the store.

Change: ProgressControl, split from FleetOwner, writes no further progress while 2 MiB or more of it wait. Changed jobs stay marked, and their ends unacknowledged, until the store has taken the earlier entries; one entry then has all of them.

Test: progress_writes_test failed before (16,437,486 bytes, the bound is 8 MiB) and checks that the job is completed once the store is back, each task started once.

--- a/src/owner/fleet_owner.ts
+++ b/src/owner/fleet_owner.ts
@@ -17,20 +17,19 @@
 import { HostControl } from "./host_control.ts";
 import type { EarlierHostOrders } from "./host_order_records.ts";
 import { createReservationCheck, createUrgencyRanking } from "./step_ranking.ts";
-import { createProgressEntry } from "./job_records.ts";
 import { getExecutorId, getIncarnationKey, PollControl } from "./poll_control.ts";
 import { MaintenanceControl } from "./maintenance_control.ts";
 import { rankBestFit, rankLeastLoaded } from "./placement.ts";
 import type { CapacityPolicy } from "./pool_need.ts";
 import { OverloadControl } from "./overload_control.ts";
 import { PaceControl } from "./pace_control.ts";
+import { ProgressControl } from "./progress_control.ts";
 import { readStoredQueues } from "./queue_records.ts";
 import { TakeOverControl } from "./take_over_control.ts";
 import { RoomControl } from "./room_control.ts";
 import { RunControl } from "./run_control.ts";
 import { RunHealth } from "./run_health.ts";
 import {
-  type JournalEntry,
   type MaintainOrder,
   type MoveOrder,
   type OrderAnswer,
@@ -102,9 +101,6 @@
 /** The interval of host list reads otherwise, in milliseconds. */
 const IDLE_LIST_INTERVAL_MILLISECONDS = 3_000;
 
-/** The size up to which progress entries are written together, in bytes. */
-const MAXIMUM_WRITE_BYTES = 100_000;
-
 /** Combines the owner's decisions: takes events and sends orders through its ports. */
 export class FleetOwner {
   readonly #state: FleetState;
@@ -122,6 +118,7 @@
   readonly #demand: DemandControl;
   readonly #capacity: PoolSizeControl;
   readonly #takeOver: TakeOverControl;
+  readonly #progress: ProgressControl;
   /** The executors in the platform's list. */
   #executorEntries: readonly ExecutorEntry[] = [];
   #listRequestedAt = -Infinity;
@@ -137,6 +134,7 @@
     this.#runs = RunControl.create(this.#state);
     this.#polls = PollControl.create(this.#state, this.#runs);
     this.#jobs = JobControl.create(this.#state, this.#runs);
+    this.#progress = ProgressControl.create(this.#state);
     this.#advice = AdviceControl.create(this.#state);
     this.#health = RunHealth.create(this.#state, this.#runs);
     this.#pace = PaceControl.create(this.#state);
@@ -380,7 +378,7 @@
    */
   flush(): void {
     this.#dispatch.run();
-    this.#storeProgress();
+    this.#progress.store();
     this.#polls.tick();
   }
 
@@ -473,37 +471,6 @@
     this.setExecutors(this.#executorEntries);
   }
 
-  /**
-   * Writes the progress of changed jobs to the journal. The ends that an executor reported are
-   * handled, written, stored and then acknowledged with its next poll, in this order.
-   */
-  #storeProgress(): void {
-    const state = this.#state;
-    const unwrittenEnds: [Executor, number][] = [];
-    for (const executor of state.executors.values()) {
-      if (executor.lastHandledEnd > executor.lastWrittenEnd) {
-        unwrittenEnds.push([executor, executor.lastHandledEnd]);
-      }
-    }
-    if (state.changedJobs.size === 0 && unwrittenEnds.length === 0) return;
-    const jobs = [...state.changedJobs];
-    const ended = jobs.filter((job) => job.outcome !== undefined);
-    state.changedJobs.clear();
-    for (const [executor, end] of unwrittenEnds) executor.lastWrittenEnd = end;
-    const { jobLimits } = state.limits;
-    const entries = jobs.map((job) => createProgressEntry(job, jobLimits.maximumValueBytes));
-    // Several large entries could exceed what the store takes in a call.
-    const groups = groupBySize(entries, MAXIMUM_WRITE_BYTES);
-    const lastGroup = groups.pop() ?? [];
-    for (const group of groups) state.ports.write(group, () => {});
-    state.ports.write(lastGroup, () => {
-      for (const [executor, end] of unwrittenEnds) {
-        executor.lastStoredEnd = Math.max(executor.lastStoredEnd, end);
-      }
-      for (const job of ended) job.isOutcomeStored = true;
-    });
-  }
-
   #decayFailures(): void {
     const state = this.#state;
     const factor = 2 ** (-(state.now - this.#decayedAt) / FAILURE_HALF_LIFE_MILLISECONDS);
@@ -511,19 +478,3 @@
     for (const executor of state.executors.values()) executor.failureScore *= factor;
   }
 }
-
-/** Groups entries in their order, each group up to a size unless it has a single entry. */
-function groupBySize(entries: readonly JournalEntry[], maximumBytes: number): JournalEntry[][] {
-  const groups: JournalEntry[][] = [];
-  let bytes = 0;
-  for (const entry of entries) {
-    const size = entry.value?.length ?? 0;
-    const group = groups.at(-1);
-    if (group === undefined || bytes + size > maximumBytes) {
-      groups.push([entry]);
-      bytes = 0;
-    } else group.push(entry);
-    bytes += size;
-  }
-  return groups;
-}
--- a/src/owner/occurrence_control_test.ts
+++ b/src/owner/occurrence_control_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { Configuration } from "../fleet/configuration.ts";
 import type { JobSpecification, StepSpecification } from "../fleet/job_specification.ts";
-import { RunEnd } from "../fleet/run.ts";
+import { ExecutorFixture } from "../stand_ins/executor_fixture.ts";
 import { createListedExecutor, createQueue } from "../stand_ins/fleet_fixtures.ts";
 import {
   createOwnerHarness,
@@ -10,7 +10,6 @@
 } from "../stand_ins/owner_harness.ts";
 import { createStepSpecification } from "../stand_ins/step_fixtures.ts";
 import { readStoredJobs } from "./job_records.ts";
-import { OrderOutcome, type StartOrder } from "./owner_ports.ts";
 
 const EXECUTOR = createListedExecutor();
 const CONFIGURATION = Configuration.create({
@@ -67,59 +66,6 @@
   return String(number).padStart(16, "0");
 }
 
-/** An executor that carries out orders, and reports the end of each run in the next step. */
-class ExecutorFixture {
-  readonly started: string[] = [];
-  #endCount = 0;
-  #running: StartOrder[] = [];
-  #handledStarts = 0;
-
-  /** Advances the owner by one step, in which the runs of earlier steps end. */
-  advance({ owner, advance, starts }: OwnerHarness): void {
-    const ended = this.#running.map(({ task, run }) => {
-      this.#endCount += 1;
-      return { number: this.#endCount, task, run, end: RunEnd.Done, checkpoint: "" };
-    });
-    this.#running = starts.slice(this.#handledStarts);
-    this.#handledStarts = starts.length;
-    this.started.push(...this.#running.map(({ task }) => task));
-    const running = this.#running.map(({ task, run }) => ({
-      task,
-      run,
-      checkpoint: "",
-      percent: 0,
-      usage: 0,
-    }));
-    const { id, born } = EXECUTOR;
-    const report = { born, executorTime: 0, running, ended, hasAllEnds: true };
-    advance(() => {
-      for (const { task, run } of this.#running) {
-        owner.handleStartAnswer(id, task, run, { outcome: OrderOutcome.Done, executorTime: 0 });
-      }
-      owner.handlePollAnswer(id, Infinity, {
-        outcome: OrderOutcome.Done,
-        acknowledged: this.#endCount,
-        report,
-      });
-    });
-  }
-
-  /** Advances the owner until it starts nothing any more. */
-  finish(owner: OwnerHarness): void {
-    const getProgress = () => owner.starts.length + this.#running.length;
-    for (let idle = 0; idle < 3;) {
-      const before = getProgress();
-      this.advance(owner);
-      idle = getProgress() === before && this.#running.length === 0 ? idle + 1 : 0;
-    }
-  }
-
-  /** Continues with the next owner, to which the runs of the earlier one are reported. */
-  takeOver(): void {
-    this.#handledStarts = 0;
-  }
-}
-
 // Guards against the memory that the due occurrences of several jobs take together.
 test("the due occurrences of many repeating jobs stay within the memory for jobs", (t) => {
   const maximumBytes = 4 * BYTES_PER_MEGABYTE;
@@ -159,7 +105,7 @@
   const next = createOwner(maximumBytes, first);
   const held = next.owner.getSummary()["heldOccurrenceBytes"]!;
   t.true(held <= maximumBytes + 300 * 1_000, `${held} bytes`);
-  const executor = new ExecutorFixture();
+  const executor = ExecutorFixture.create(EXECUTOR);
   executor.finish(next);
   t.is(executor.started.length, jobs * 300);
   t.is(new Set(executor.started).size, jobs * 300);
@@ -170,7 +116,7 @@
   const repeats = 300;
   const maximumBytes = 200_000;
   const first = createOwner(maximumBytes);
-  const executor = new ExecutorFixture();
+  const executor = ExecutorFixture.create(EXECUTOR);
   executor.advance(first);
   const demand = { cpu: 400, memory: 1, accelerators: 0 };
   for (let number = 0; number < 3; number += 1) {
@@ -191,7 +137,7 @@
 // Guards against ordinary jobs that wait for a backlog of due occurrences.
 test("a job that is submitted beside a backlog of due occurrences begins before it", (t) => {
   const harness = createOwner(4 * BYTES_PER_MEGABYTE);
-  const executor = new ExecutorFixture();
+  const executor = ExecutorFixture.create(EXECUTOR);
   executor.advance(harness);
   for (let number = 0; number < 12; number += 1) {
     submit(harness, getJobId(number), createRepeating(28_000));
@@ -222,7 +168,7 @@
       }),
       features: { ordersBacklog, reservesRoom: false, anticipatesDemand: false },
     });
-    const executor = new ExecutorFixture();
+    const executor = ExecutorFixture.create(EXECUTOR);
     executor.advance(harness);
     for (let number = 0; number < 12; number += 1) {
       submit(harness, getJobId(number), createRepeating(28_000));
@@ -252,7 +198,7 @@
 // Guards against a job whose backlog lets only one occurrence at a time of later jobs run.
 test("jobs of one customer share the memory for due occurrences", (t) => {
   const harness = createOwner(4 * BYTES_PER_MEGABYTE);
-  const executor = new ExecutorFixture();
+  const executor = ExecutorFixture.create(EXECUTOR);
   executor.advance(harness);
   for (let number = 0; number < 3; number += 1) {
     submit(harness, getJobId(number), createRepeating(2_000));
--- a/src/stand_ins/owner_harness.ts
+++ b/src/stand_ins/owner_harness.ts
@@ -30,6 +30,8 @@
   stored?: readonly (readonly [string, Uint8Array])[];
   /** The memory for jobs, in bytes; no limit if unset. */
   maximumJobBytes?: number;
+  /** Gets whether the store answers, so that written entries count as stored; it does by default. */
+  isStoreUp?: () => boolean;
   /** The scheduling features that are on; none by default. */
   features?: SchedulingFeatures;
   /** How long the starts of earlier owners are in doubt, in milliseconds. */
@@ -51,6 +53,8 @@
   adviceRequests: readonly string[];
   /** The stored entries, by key. */
   journal: ReadonlyMap<string, Uint8Array>;
+  /** Gets the size of the values that were written and are not stored yet, in bytes. */
+  getPendingBytes: () => number;
   /** Advances the time by one step, and runs an action before the owner's tick. */
   advance: (action?: () => void) => void;
   /** Answers a poll of an executor with a report without runs. */
@@ -66,6 +70,7 @@
   const adviceRequests: string[] = [];
   const journal = new Map(options.stored);
   let callbacks: (() => void)[] = [];
+  let pendingBytes = 0;
   const ports: OwnerPorts = {
     start: (order) => starts.push(order),
     stop: (order) => stops.push(order),
@@ -80,6 +85,7 @@
       for (const { key, value } of entries) {
         if (value === undefined) journal.delete(key);
         else journal.set(key, value);
+        pendingBytes += value?.length ?? 0;
       }
       callbacks.push(onStored);
     },
@@ -130,8 +136,10 @@
     action();
     owner.tick();
     owner.flush();
+    if (options.isStoreUp?.() === false) return;
     const pendingCallbacks = callbacks;
     callbacks = [];
+    pendingBytes = 0;
     for (const callback of pendingCallbacks) callback();
   };
   const reportNoRuns = ({ id, born }: ExecutorEntry) => {
@@ -139,5 +147,15 @@
     const answer = { outcome: OrderOutcome.Done, acknowledged: 0, report };
     advance(() => owner.handlePollAnswer(id, now, answer));
   };
-  return { owner, starts, stops, moves, adviceRequests, journal, advance, reportNoRuns };
+  return {
+    owner,
+    starts,
+    stops,
+    moves,
+    adviceRequests,
+    journal,
+    getPendingBytes: () => pendingBytes,
+    advance,
+    reportNoRuns,
+  };
 }
