--- a/src/platform/process_soak_test.ts
+++ b/src/platform/process_soak_test.ts
@@ -28,6 +28,10 @@
 interface SoakVariant {
   taskMilliseconds: number;
   faults: readonly SoakFault[];
+  /** The number of occurrences of repeating jobs; none repeats if unset. */
+  repeats?: number;
+  /** The memory for an owner's jobs on the hosts, in turn, in bytes. */
+  ownerJobBytes?: readonly number[];
 }
 
 function getFaults(names: string): SoakFault[] {
@@ -48,7 +52,9 @@
       faultMilliseconds: FAULT_MILLISECONDS,
       hosts: HOSTS,
       hostLimits: HOST_LIMITS,
+      ownerJobBytes: variant.ownerJobBytes,
       executors: EXECUTORS,
+      repeats: variant.repeats ?? 0,
       onBroken: (lines) => {
         if (LOG_FOLDER === undefined) return;
         writeFileSync(join(LOG_FOLDER, `soak-${seed}.log`), lines.join("\n"));
@@ -117,3 +123,21 @@
       SoakFault.AddressTakeOver,
     ],
   }, { seed: 20261209, numRuns: 1 }));
+
+// Guards against occurrences that are lost or repeated as owners with unequal memory hold them in turn.
+test.serial("each occurrence is executed once while owners with little memory change", (t) =>
+  soak(t, {
+    taskMilliseconds: 100,
+    faults: [
+      SoakFault.Stop,
+      SoakFault.StopOfAllHosts,
+      SoakFault.Kill,
+      SoakFault.Pause,
+      SoakFault.ExecutorRestart,
+      SoakFault.SilentExecutorRestart,
+      SoakFault.StoreOutage,
+      SoakFault.QueueMove,
+    ],
+    repeats: 60,
+    ownerJobBytes: [400_000, 800_000, 1_600_000],
+  }, { seed: 20261210, numRuns: 1 }));
--- a/src/platform/stand_in/process_soak.ts
+++ b/src/platform/stand_in/process_soak.ts
@@ -23,12 +23,13 @@
   "keyed.journal",
   "keyed.status",
 ];
-/** The marks of the ids of jobs whose tasks run for good, and of jobs on a route that comes and goes. */
+/** The marks of the ids of jobs whose tasks run for good, of jobs on a route that comes and goes, and of repeating jobs. */
 const LASTING_MARK = "f";
 const PASSING_MARK = "e";
+const REPEATING_MARK = "d";
 const TASKS = 4;
 const JOB_INTERVAL_MILLISECONDS = 150;
-/** One in this many jobs is long-running, and one is on the route that comes and goes. */
+/** One in this many jobs is long-running, one on the route that comes and goes, one repeats. */
 const SPECIAL_JOB_INTERVAL = 12;
 const MAXIMUM_FAULT_INTERVAL_MILLISECONDS = 1_200;
 /** The bound of the seeds that the schedule draws for its faults. */
@@ -54,8 +55,12 @@
   hosts: number;
   /** The resources that the hosts' settings state, given out in turn; equal ones if unset. */
   hostLimits?: readonly HostLimits[] | undefined;
+  /** The memory for an owner's jobs on the hosts, in turn, in bytes; the default if unset. */
+  ownerJobBytes?: readonly number[] | undefined;
   /** The number of executors. */
   executors: number;
+  /** The number of occurrences of repeating jobs, all of which are due; none repeats if it is 0. */
+  repeats: number;
   /** How long a task takes that is not long-running, in milliseconds. */
   taskMilliseconds: number;
   /** The kinds of faults that come, as named in `SoakFault`; all if unset. */
@@ -123,8 +128,8 @@
       this.#executorIds.push(id);
       await this.#executors.start({ id, service: SERVICES[number % SERVICES.length]! });
     }
-    const { seed, hosts: hostCount, hostLimits, faultMilliseconds } = this.#options;
-    const hosts = await SoakHosts.create(hostCount, store, hostLimits);
+    const { seed, hosts: hostCount, hostLimits, ownerJobBytes, faultMilliseconds } = this.#options;
+    const hosts = await SoakHosts.create(hostCount, { store, limits: hostLimits, ownerJobBytes });
     this.#hosts = hosts;
     const callers = SoakCallers.create(hosts.hosts, createRandom(seed + 1));
     const endsAt = performance.now() + faultMilliseconds;
@@ -156,20 +161,33 @@
         jobs: submissions.length,
         handOversDecided: hosts.countEvents("hand-over-decided"),
         handOversFailed: hosts.countEvents("hand-over-failed"),
+        delayedOccurrences: hosts.countEvents("occurrences-delayed"),
       },
     };
   }
 
   async #submitJobs(callers: SoakCallers, endsAt: number): Promise<void> {
-    const { taskMilliseconds } = this.#options;
+    const { repeats, taskMilliseconds } = this.#options;
     for (let number = 0; performance.now() < endsAt; number += 1) {
       const kind = number % SPECIAL_JOB_INTERVAL;
       const isLasting = kind === 0;
       const isPassing = kind === 1 && this.#hasPassingRoute;
-      const mark = isLasting ? LASTING_MARK : isPassing ? PASSING_MARK : "0";
+      const isRepeating = kind === 2 && repeats > 0;
+      const mark = isLasting
+        ? LASTING_MARK
+        : isPassing
+        ? PASSING_MARK
+        : isRepeating
+        ? REPEATING_MARK
+        : "0";
       const id = mark + number.toString(16).padStart(15, "0");
       const step = { count: TASKS, cpu: 100, memMb: 10, estRuntimeMs: taskMilliseconds };
-      const body = { taskSpec: "", steps: [{ ...step, longRunning: isLasting }] };
+      const schedule = { repeats, firstRunMs: Date.now() - repeats, intervalMs: 1 };
+      const body = {
+        taskSpec: "",
+        steps: [{ ...step, longRunning: isLasting }],
+        ...(isRepeating ? schedule : {}),
+      };
       this.#submissions.push(callers.submit(isPassing ? "/passing/" : "/berths/", id, body));
       await delay(JOB_INTERVAL_MILLISECONDS);
     }
@@ -292,7 +310,7 @@
   /** Waits until each task of the accepted jobs is done or, if it is long-running, at work. */
   async #waitForTasks(submissions: readonly SoakSubmission[]): Promise<string[]> {
     const tasks = submissions.filter(({ isAccepted }) => isAccepted).flatMap(({ id }) =>
-      getTasks(id)
+      this.#getTasks(id)
     );
     const until = performance.now() + COMPLETION_TIMEOUT_MILLISECONDS;
     const isOpen = (task: string) =>
@@ -303,10 +321,18 @@
     return tasks.filter(isOpen);
   }
 
+  #getTasks(id: string): string[] {
+    const occurrences = id.startsWith(REPEATING_MARK) ? this.#options.repeats : 1;
+    return Array.from(
+      { length: occurrences * TASKS },
+      (_, number) => `${id}.${Math.floor(number / TASKS)}.0.${number % TASKS}`,
+    );
+  }
+
   #findRefusedRuns(submissions: readonly SoakSubmission[]): string[] {
     return submissions
       .filter(({ id, isRefused }) =>
-        isRefused && getTasks(id).some((task) => this.#executors.history.isStarted(task))
+        isRefused && this.#getTasks(id).some((task) => this.#executors.history.isStarted(task))
       )
       .map(({ id }) => `${id} was refused and has run`);
   }
@@ -317,7 +343,3 @@
     this.#store.close();
   }
 }
-
-function getTasks(id: string): string[] {
-  return Array.from({ length: TASKS }, (_, index) => `${id}.0.0.${index}`);
-}
--- a/src/platform/stand_in/soak_hosts.ts
+++ b/src/platform/stand_in/soak_hosts.ts
@@ -12,6 +12,16 @@
 /** How long after a disturbance a host counts as disturbed, in milliseconds. */
 const CONTACT_MILLISECONDS = 3_000;
 
+/** Options of `SoakHosts`. */
+export interface SoakHostsOptions {
+  /** The address of the store. */
+  store: string;
+  /** The resources that the hosts' settings state, given out in turn. */
+  limits?: readonly HostLimits[] | undefined;
+  /** The memory for an owner's jobs, given out in turn, in bytes; the default if unset. */
+  ownerJobBytes?: readonly number[] | undefined;
+}
+
 /** Owns the processes of the hosts. */
 export class SoakHosts {
   /** The hosts. */
@@ -27,12 +37,9 @@
     this.hosts = hosts;
   }
 
-  /** Starts hosts one after the other, until all are ready; the limits are given out in turn. */
-  static async create(
-    count: number,
-    store: string,
-    limits: readonly HostLimits[] = [],
-  ): Promise<SoakHosts> {
+  /** Starts hosts one after the other, until all are ready. */
+  static async create(count: number, options: SoakHostsOptions): Promise<SoakHosts> {
+    const { store, limits = [], ownerJobBytes = [] } = options;
     const hosts: HostProcess[] = [];
     for (let number = 0; number < count; number += 1) {
       hosts.push(
@@ -41,6 +48,9 @@
           store,
           graceMilliseconds: GRACE_MILLISECONDS,
           limits: limits[number % limits.length],
+          ...(ownerJobBytes.length === 0 ? {} : {
+            callerLimits: { ownerJobBytes: ownerJobBytes[number % ownerJobBytes.length]! },
+          }),
         }),
       );
     }
