Add the occurrences of a new job alone, and clear up names

JobMemory.update is named after what it does, the check of memory comes before the one that goes through steps, and the soak has a function for the kinds of its jobs.

--- a/src/owner/fleet_state.ts
+++ b/src/owner/fleet_state.ts
@@ -318,7 +318,7 @@
   addOccurrence(job: Job, occurrence: number, state: TaskState): void {
     const initial = this.hasUnknownTasks ? state : TaskState.Waiting;
     const steps = job.addOccurrence(occurrence, initial);
-    this.jobMemory.count(job);
+    this.jobMemory.update(job);
     for (const step of steps) this.addIfReady(step);
   }
 
@@ -326,7 +326,7 @@
   completeOccurrence(job: Job, occurrence: number): void {
     job.occurrences.delete(occurrence);
     job.doneOccurrences.add(occurrence);
-    this.jobMemory.count(job);
+    this.jobMemory.update(job);
   }
 
   /** Makes the tasks of a step eligible to start if all steps that it depends on are done. */
--- a/src/owner/job_control.ts
+++ b/src/owner/job_control.ts
@@ -76,7 +76,7 @@
     const callbacks = [{ onAccepted, onRejected }];
     const job = Job.create({ ...submission, acceptedAt: state.timeOfDay });
     this.#accepting.set(submission.id, { job, callbacks });
-    state.jobMemory.count(job);
+    state.jobMemory.update(job);
     // A later owner needs the queue to execute the job, even if operators have removed it since.
     const queue = state.createQueueEntry(job.queue);
     const entries = [createAcceptedEntry(job), ...(queue === undefined ? [] : [queue.entry])];
@@ -95,7 +95,7 @@
         version: state.configuration.version,
       });
       this.#occurrences.addJob(job, TaskState.Waiting);
-      this.#occurrences.addDue();
+      this.#occurrences.addDueOf(job);
       for (const callback of callbacks) callback.onAccepted();
     }, () => {
       this.#accepting.delete(job.id);
@@ -112,7 +112,7 @@
       state.jobs.set(job.id, job);
       job.outcomeKnownSince = state.now;
       // All jobs are counted before an occurrence is added to one of them.
-      state.jobMemory.count(job);
+      state.jobMemory.update(job);
     }
     for (const job of jobs) {
       if (job.outcome !== undefined) continue;
--- a/src/owner/job_memory.ts
+++ b/src/owner/job_memory.ts
@@ -12,7 +12,7 @@
 const MAXIMUM_FURTHER_BYTES = 16 * BYTES_PER_MEGABYTE;
 /** The part of the jobs' memory that such occurrences may take on a small machine. */
 const FURTHER_FRACTION = 0.25;
-/** The part of the jobs' memory that is for occurrences even if the rest of the jobs takes more. */
+/** The part of the jobs' memory that occurrences may take even if specifications leave less. */
 const OCCURRENCES_FRACTION = 0.25;
 
 /** Whose job it is: a customer's in a queue. */
@@ -70,8 +70,8 @@
     return this.#occurrences.bytes;
   }
 
-  /** Counts a job as it is now. Called again when its occurrences or its outcome change. */
-  count(job: Job): void {
+  /** Counts a job as it is now: when it is new, and when its occurrences or its outcome change. */
+  update(job: Job): void {
     let account = this.#accounts.get(job);
     if (account === undefined) {
       account = createAccount(job);
--- a/src/owner/job_memory_test.ts
+++ b/src/owner/job_memory_test.ts
@@ -89,7 +89,7 @@
       acceptedAt: 0,
     });
     state.jobs.set(job.id, job);
-    state.jobMemory.count(job);
+    state.jobMemory.update(job);
     for (let occurrence = 0; occurrence < occurrences; occurrence += 1) {
       state.addOccurrence(job, occurrence, TaskState.Waiting);
     }
--- a/src/owner/occurrence_control.ts
+++ b/src/owner/occurrence_control.ts
@@ -6,6 +6,15 @@
 /** The minimum interval between log lines about delayed occurrences, in milliseconds. */
 const LOG_INTERVAL_MILLISECONDS = 5_000;
 
+/** What became of the next occurrence of a job. */
+const AddResult = {
+  Added: "added",
+  /** The job has no occurrence that is due and was not added. */
+  NotDue: "not due",
+  NoRoom: "no room",
+} as const;
+type AddResult = typeof AddResult[keyof typeof AddResult];
+
 /** The next occurrence of a job. */
 interface NextOccurrence {
   occurrence: number;
@@ -39,29 +48,20 @@
     this.#next.set(job, { occurrence: 0, state });
   }
 
+  /** Adds the occurrences of a job that are due and have room. */
+  addDueOf(job: Job): void {
+    while (this.#addNext(job) === AddResult.Added);
+  }
+
   /**
-   * Adds the occurrences that are due and have room, one of each job at a time, so that no job takes
-   * the room of others.
+   * Adds the occurrences of all jobs that are due and have room, one of each job at a time, so that no
+   * job takes the room of others.
    */
   addDue(): void {
     let delayedJobs = 0;
     // A job that gets an occurrence moves to the end of the map, and so takes another turn.
-    for (const [job, next] of this.#next) {
-      this.#skipKnown(job, next);
-      const hasEnded = job.outcome !== undefined;
-      if (hasEnded || next.occurrence >= job.getOccurrenceCount()) {
-        this.#next.delete(job);
-        continue;
-      }
-      if (job.getDueAt(next.occurrence) > this.#state.timeOfDay) continue;
-      if (!this.#hasRoom(job)) {
-        delayedJobs += 1;
-        continue;
-      }
-      this.#state.addOccurrence(job, next.occurrence, next.state);
-      next.occurrence += 1;
-      this.#next.delete(job);
-      this.#next.set(job, next);
+    for (const job of this.#next.keys()) {
+      if (this.#addNext(job) === AddResult.NoRoom) delayedJobs += 1;
     }
     this.#recordDelayed(delayedJobs);
   }
@@ -74,6 +74,24 @@
     };
   }
 
+  /** Adds the next occurrence of a job if it is due and has room. */
+  #addNext(job: Job): AddResult {
+    const next = this.#next.get(job);
+    if (next === undefined) return AddResult.NotDue;
+    this.#skipKnown(job, next);
+    if (job.outcome !== undefined || next.occurrence >= job.getOccurrenceCount()) {
+      this.#next.delete(job);
+      return AddResult.NotDue;
+    }
+    if (job.getDueAt(next.occurrence) > this.#state.timeOfDay) return AddResult.NotDue;
+    if (!this.#hasRoom(job)) return AddResult.NoRoom;
+    this.#state.addOccurrence(job, next.occurrence, next.state);
+    next.occurrence += 1;
+    this.#next.delete(job);
+    this.#next.set(job, next);
+    return AddResult.Added;
+  }
+
   /** Skips occurrences that are completed, or that were added since an executor reported them. */
   #skipKnown(job: Job, next: NextOccurrence): void {
     next.occurrence = job.doneOccurrences.findMissing(next.occurrence);
@@ -84,8 +102,8 @@
 
   #hasRoom(job: Job): boolean {
     const { jobMemory, limits } = this.#state;
-    return limits.jobLimits.canHold(job.specification, job.occurrences.size + 1) &&
-      jobMemory.hasRoomForOccurrence(job);
+    return jobMemory.hasRoomForOccurrence(job) &&
+      limits.jobLimits.canHold(job.specification, job.occurrences.size + 1);
   }
 
   #recordDelayed(delayedJobs: number): void {
--- a/src/owner/run_control.ts
+++ b/src/owner/run_control.ts
@@ -254,7 +254,7 @@
     job.outcome = outcome;
     job.endedAt = state.timeOfDay;
     job.outcomeKnownSince = state.now;
-    state.jobMemory.count(job);
+    state.jobMemory.update(job);
     state.changedJobs.add(job);
     state.log("job-end", {
       request: job.id,
--- a/src/owner/step_ranking.ts
+++ b/src/owner/step_ranking.ts
@@ -28,7 +28,8 @@
  * for the whole backlog and miss its objective; in this ranking jobs that have already missed
  * theirs yield to jobs that can still meet it. Jobs beyond their customer's fair share come after
  * jobs within it. Of the occurrences that have missed their objective, one of each job comes before
- * the others, and repeating jobs take turns with late jobs, so that their backlog holds up none.
+ * the others, and repeating jobs take turns with other late jobs, which so don't wait for the whole
+ * backlog of a repeating job.
  */
 export function createUrgencyRanking(
   state: FleetState,
--- a/src/platform/stand_in/process_soak.ts
+++ b/src/platform/stand_in/process_soak.ts
@@ -23,9 +23,11 @@
   "keyed.journal",
   "keyed.status",
 ];
-/** The marks of the ids of jobs whose tasks run for good, of jobs on a route that comes and goes, and of repeating jobs. */
+/** The mark of the ids of jobs whose tasks run for good. */
 const LASTING_MARK = "f";
+/** The mark of the ids of jobs on a route that comes and goes. */
 const PASSING_MARK = "e";
+/** The mark of the ids of repeating jobs. */
 const REPEATING_MARK = "d";
 const TASKS = 4;
 const JOB_INTERVAL_MILLISECONDS = 150;
@@ -169,30 +171,36 @@
   async #submitJobs(callers: SoakCallers, endsAt: number): Promise<void> {
     const { repeats, taskMilliseconds } = this.#options;
     for (let number = 0; performance.now() < endsAt; number += 1) {
-      const kind = number % SPECIAL_JOB_INTERVAL;
-      const isLasting = kind === 0;
-      const isPassing = kind === 1 && this.#hasPassingRoute;
-      const isRepeating = kind === 2 && repeats > 0;
-      const mark = isLasting
-        ? LASTING_MARK
-        : isPassing
-        ? PASSING_MARK
-        : isRepeating
-        ? REPEATING_MARK
-        : "0";
+      const mark = this.#getMark(number);
       const id = mark + number.toString(16).padStart(15, "0");
       const step = { count: TASKS, cpu: 100, memMb: 10, estRuntimeMs: taskMilliseconds };
       const schedule = { repeats, firstRunMs: Date.now() - repeats, intervalMs: 1 };
       const body = {
         taskSpec: "",
-        steps: [{ ...step, longRunning: isLasting }],
-        ...(isRepeating ? schedule : {}),
+        steps: [{ ...step, longRunning: mark === LASTING_MARK }],
+        ...(mark === REPEATING_MARK ? schedule : {}),
       };
-      this.#submissions.push(callers.submit(isPassing ? "/passing/" : "/berths/", id, body));
+      this.#submissions.push(
+        callers.submit(mark === PASSING_MARK ? "/passing/" : "/berths/", id, body),
+      );
       await delay(JOB_INTERVAL_MILLISECONDS);
     }
   }
 
+  /** Gets the mark of the job with a number. */
+  #getMark(number: number): string {
+    switch (number % SPECIAL_JOB_INTERVAL) {
+      case 0:
+        return LASTING_MARK;
+      case 1:
+        return this.#hasPassingRoute ? PASSING_MARK : "0";
+      case 2:
+        return this.#options.repeats > 0 ? REPEATING_MARK : "0";
+      default:
+        return "0";
+    }
+  }
+
   /** Starts faults that overlap. Each has a random source of its own, so that the seed decides. */
   async #disturb(hosts: SoakHosts, callers: SoakCallers, endsAt: number): Promise<void> {
     const faults: Readonly<Record<SoakFault, (random: () => number) => Promise<void>>> = {
