Count further occurrences as beyond their customer's fair share

Cause: the fair share is checked once, at the submission of a job, and covers all of its occurrences. Where a repeating job was the first one of a second, its whole backlog ranked before each job of its customer that was submitted beyond the share.

Change: an occurrence beyond the first of its job that has missed its objective ranks as beyond the fair share.

Test: "a late job beyond the fair share begins before further occurrences of one within it" failed before (not among the first 80 starts). 167 tests of the owner pass.

--- a/src/owner/job_control.ts
+++ b/src/owner/job_control.ts
@@ -92,6 +92,7 @@
         customer: job.customer,
         steps: job.specification.steps.length,
         repeats: job.specification.repeats,
+        beyondShare: job.exceedsFairShare,
         version: state.configuration.version,
       });
       this.#occurrences.addJob(job, TaskState.Waiting);
--- a/src/owner/occurrence_control_test.ts
+++ b/src/owner/occurrence_control_test.ts
@@ -182,6 +182,35 @@
   });
 }
 
+// Guards against jobs beyond a customer's fair share that wait for the whole backlog of one within it.
+test("a late job beyond the fair share begins before further occurrences of one within it", (t) => {
+  const customer = "mine-office";
+  const harness = createOwner(4 * BYTES_PER_MEGABYTE, undefined, {
+    configuration: Configuration.create({
+      version: 1,
+      queues: [createQueue()],
+      services: [{ name: "tugdesk", isGuarded: false, isSpare: false }],
+      customers: [{
+        name: customer,
+        keys: [],
+        weight: 1,
+        ceiling: { cpu: 0, memory: 0, accelerators: 0 },
+      }],
+      largestBodyBytes: 1,
+    }),
+  });
+  const executor = ExecutorFixture.create(EXECUTOR);
+  executor.advance(harness);
+  // The first job uses up what the customer may submit within its share for a second.
+  submit(harness, getJobId(1), createRepeating(28_000), customer);
+  submit(harness, getJobId(99), createRepeating(0), customer);
+  // The tasks that run take longer than the objective of the job.
+  for (let step = 0; step < 100; step += 1) harness.advance();
+  for (let step = 0; step < 20; step += 1) executor.advance(harness);
+  const position = executor.started.findIndex((task) => task.startsWith(getJobId(99)));
+  t.true(position >= 0 && position < 40, `start ${position} of ${executor.started.length}`);
+});
+
 // Guards against a customer that takes all memory for due occurrences.
 test("jobs of two customers share the memory for due occurrences", (t) => {
   const harness = createOwner(4 * BYTES_PER_MEGABYTE);
--- a/src/owner/step_ranking.ts
+++ b/src/owner/step_ranking.ts
@@ -42,12 +42,15 @@
     const deadline = getDeadline(state, durationEstimator, step);
     const remaining = getCriticalPathMilliseconds(durationEstimator, job, step.number);
     const isMissed = state.timeOfDay + remaining > deadline;
+    const [isFurther, turn] = isMissed ? getTurn(step, deadline) : [0, deadline];
     return [
       1,
       Number(isMissed || job.exceedsFairShare),
       priority,
-      Number(job.exceedsFairShare),
-      ...(isMissed ? getTurn(step, deadline) : [0, deadline]),
+      // The fair share was checked once for all occurrences of a job, and so covers only one.
+      Math.max(Number(job.exceedsFairShare), isFurther),
+      isFurther,
+      turn,
     ];
   };
 }
